Add the workspace, base types and the interfaces to the outside

Cause: the parts are built in parallel and need fixed interfaces first. Conclusion: the parts can be built against links without knowing each other.

--- /dev/null
+++ b/libs/base/src/pistachiowinch/base/__init__.py
@@ -0,0 +1,1 @@
+"""Clock, result codes, session tokens, identities, hashing, logs and metrics."""
--- /dev/null
+++ b/libs/base/src/pistachiowinch/base/logs.py
@@ -0,0 +1,52 @@
+"""Loggers with a fixed prefix for each part."""
+
+import sys
+from typing import TextIO
+
+import logbook
+import msgspec
+
+__all__ = ["JsonLinesHandler", "make_handler", "part_logger"]
+
+_TEXT_FORMAT = (
+    "{record.time:%Y-%m-%dT%H:%M:%S} {record.level_name} [{record.channel}] {record.message}"
+)
+
+
+def part_logger(part: str) -> logbook.Logger:
+    """Return the logger of one part.
+
+    :param part: fixed prefix of the part's records, such as ``"roster"``.
+    """
+    return logbook.Logger(part)
+
+
+class JsonLinesHandler(logbook.StreamHandler):
+    """Writes each record as one JSON object on a line."""
+
+    def format(self, record: logbook.LogRecord) -> str:
+        """Return the record as JSON.
+
+        :param record: the record to format.
+        """
+        fields = {
+            "time": record.time.isoformat(),
+            "level": record.level_name,
+            "part": record.channel,
+            "message": record.message,
+        }
+        return msgspec.json.encode(fields).decode()
+
+
+def make_handler(level: str, is_json: bool, stream: TextIO | None = None) -> logbook.StreamHandler:
+    """Build the handler that the settings ask for.
+
+    :param level: lowest level that is written, such as ``"INFO"``.
+    :param is_json: JSON lines if true, plain text otherwise.
+    :param stream: where records go; standard error by default.
+    :raises LookupError: if the level is unknown.
+    """
+    target = stream or sys.stderr
+    if is_json:
+        return JsonLinesHandler(target, level=level)
+    return logbook.StreamHandler(target, level=level, format_string=_TEXT_FORMAT)
--- /dev/null
+++ b/libs/configuration/src/pistachiowinch/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration document, numbered patches, roster and standing."""
--- /dev/null
+++ b/libs/gateway/src/pistachiowinch/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Runs one statement of one session."""
--- /dev/null
+++ b/libs/groups/src/pistachiowinch/groups/__init__.py
@@ -0,0 +1,1 @@
+"""Target status, write confirmation, promotion and the ledger."""
--- /dev/null
+++ b/libs/limits/src/pistachiowinch/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Rates, slots, fair queues and retry budgets."""
--- /dev/null
+++ b/libs/links/src/pistachiowinch/links/__init__.py
@@ -0,0 +1,1 @@
+"""Interfaces to the outside: store, targets, peers and host list."""
--- /dev/null
+++ b/libs/links/src/pistachiowinch/links/store.py
@@ -0,0 +1,123 @@
+"""Interface to the platform's key-value store, with the semantics of etcd v3."""
+
+from collections.abc import AsyncIterator, Sequence
+from typing import NamedTuple, Protocol
+
+__all__ = [
+    "NO_LEASE",
+    "Compare",
+    "Delete",
+    "KeyValue",
+    "Operation",
+    "Put",
+    "Store",
+    "StoreError",
+    "StoreReplyLost",
+    "StoreUnavailable",
+    "TxnReply",
+    "WatchEvent",
+]
+
+NO_LEASE = 0
+
+
+class StoreError(Exception):
+    """The store did not answer as asked."""
+
+
+class StoreUnavailable(StoreError):
+    """The request certainly had no effect."""
+
+
+class StoreReplyLost(StoreError):
+    """The request may have taken effect; the caller has to read back."""
+
+
+class KeyValue(NamedTuple):
+    """One key as the store holds it."""
+
+    key: str
+    value: bytes
+    mod_revision: int
+    lease: int = NO_LEASE
+
+
+class Compare(NamedTuple):
+    """Condition of a transaction: the key's last revision; 0 means that it must not exist."""
+
+    key: str
+    mod_revision: int
+
+
+class Put(NamedTuple):
+    """Write of one key, up to 1 MB."""
+
+    key: str
+    value: bytes
+    lease: int = NO_LEASE
+
+
+class Delete(NamedTuple):
+    """Removal of one key."""
+
+    key: str
+
+
+Operation = Put | Delete
+
+
+class TxnReply(NamedTuple):
+    """Result of a transaction: whether all conditions held, and the store's revision."""
+
+    succeeded: bool
+    revision: int
+
+
+class WatchEvent(NamedTuple):
+    """One change under a watched prefix; ``value`` is None for a removal."""
+
+    key: str
+    value: bytes | None
+    mod_revision: int
+
+
+class Store(Protocol):
+    """Client of the store. Every method may raise :class:`StoreError`."""
+
+    async def get(self, key: str) -> KeyValue | None:
+        """Read one key, linearizably.
+
+        :param key: the key.
+        :returns: None if the key does not exist.
+        :raises StoreUnavailable: if the store did not answer.
+        """
+
+    async def get_prefix(self, prefix: str) -> list[KeyValue]:
+        """Read all keys under a prefix in key order.
+
+        :raises StoreUnavailable: if the store did not answer.
+        """
+
+    async def transact(
+        self, compares: Sequence[Compare], operations: Sequence[Operation]
+    ) -> TxnReply:
+        """Apply all operations if all conditions hold, else none.
+
+        :raises StoreUnavailable: if nothing was applied.
+        :raises StoreReplyLost: if the outcome is unknown.
+        """
+
+    async def grant_lease(self, ttl_s: float) -> int:
+        """Create a lease and return its id."""
+
+    async def keep_alive(self, lease: int) -> float:
+        """Renew a lease once.
+
+        :returns: remaining seconds, counted from the time of the request; 0 if it has lapsed.
+        """
+
+    def watch(self, prefix: str, from_revision: int) -> AsyncIterator[WatchEvent]:
+        """Iterate over changes under a prefix, starting with ``from_revision``.
+
+        :raises StoreUnavailable: when the watch breaks; the caller reads again and restarts.
+        """
--- /dev/null
+++ b/libs/measure/src/pistachiowinch/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Scenario runner and tables of measures."""
--- /dev/null
+++ b/libs/model/src/pistachiowinch/model/__init__.py
@@ -0,0 +1,1 @@
+"""Specification of the core protocol and its checker."""
--- /dev/null
+++ b/libs/operations/src/pistachiowinch/operations/__init__.py
@@ -0,0 +1,1 @@
+"""Settings, command line, operators HTTP interface, daemon and demo."""
--- /dev/null
+++ b/libs/peering/src/pistachiowinch/peering/__init__.py
@@ -0,0 +1,1 @@
+"""Heartbeats and requests between the hosts of a site."""
--- /dev/null
+++ b/libs/proxy/src/pistachiowinch/proxy/__init__.py
@@ -0,0 +1,1 @@
+"""The callers side: MySQL server protocol."""
--- /dev/null
+++ b/libs/routing/src/pistachiowinch/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Session state and choice of a target for a statement."""
--- /dev/null
+++ b/libs/standins/src/pistachiowinch/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for tests and the demo."""
--- /dev/null
+++ b/libs/targets/src/pistachiowinch/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to targets by the MySQL protocol."""
