--- /dev/null
+++ b/libs/routing/src/pistachiowinch/routing/choice.py
@@ -0,0 +1,116 @@
+"""Which targets may run a statement of a session.
+
+The rules rely on tracked positions being lower bounds: a target never loses entries within a
+term, so knowledge that is old is still safe.
+"""
+
+from collections.abc import Iterable
+from typing import NamedTuple, Protocol
+
+from pistachiowinch.base.tokens import SessionToken
+from pistachiowinch.links.targets import TargetRole, TargetStatus
+
+__all__ = ["GroupView", "ReadNeed", "Tracked", "covers", "is_fresh_enough", "read_candidates"]
+
+
+class Tracked(NamedTuple):
+    """Last known state of a target.
+
+    :param status: what it reported.
+    :param as_of_s: loop time at which the status request was sent.
+    :param staleness_bound_s: age of the oldest missing entry at ``as_of_s``, at most; None if
+        unknown.
+    :param is_reachable: whether the last probe was answered.
+    """
+
+    status: TargetStatus
+    as_of_s: float
+    staleness_bound_s: float | None
+    is_reachable: bool
+
+
+class GroupView(Protocol):
+    """What routing reads of a database group's tracker."""
+
+    @property
+    def term(self) -> int:
+        """Newest known term of the group."""
+
+    @property
+    def primary(self) -> str | None:
+        """Target that serves as primary in :attr:`term`; None during a promotion."""
+
+    def tracked(self, target: str) -> Tracked | None:
+        """Return the last known state of a target."""
+
+
+class ReadNeed(NamedTuple):
+    """What a read requires.
+
+    :param token: the session's newest write, or None.
+    :param max_staleness_s: accepted age of data, or None for none stated.
+    :param is_primary_only: whether the session's writes are in doubt.
+    """
+
+    token: SessionToken | None
+    max_staleness_s: float | None
+    is_primary_only: bool
+
+
+def covers(status: TargetStatus, token: SessionToken | None, group_term: int) -> bool:
+    """Tell whether a target's visible data includes a session's newest write.
+
+    A target whose stream is older than the group's term may hold entries that were
+    discarded by a promotion, so it covers nothing.
+
+    :param status: the target's reported state.
+    :param token: the session's newest write, or None.
+    :param group_term: newest known term of the group.
+    """
+    if status.promised_term != status.stream_term or status.stream_term < group_term:
+        return False
+    if token is None:
+        return True
+    return status.stream_term >= token.term and status.applied_position >= token.position
+
+
+def is_fresh_enough(tracked: Tracked, max_staleness_s: float | None, now_s: float) -> bool:
+    """Tell whether a target's data is at most as old as the caller accepts.
+
+    :param tracked: the target's last known state.
+    :param max_staleness_s: accepted age in seconds; None accepts any.
+    :param now_s: the loop's time.
+    """
+    if max_staleness_s is None:
+        return True
+    if tracked.status.role is TargetRole.PRIMARY:
+        return True
+    if tracked.staleness_bound_s is None:
+        return False
+    age_s = now_s - tracked.as_of_s + tracked.staleness_bound_s
+    return age_s <= max_staleness_s
+
+
+def read_candidates(
+    view: GroupView, targets: Iterable[str], need: ReadNeed, now_s: float
+) -> list[str]:
+    """List targets that may serve a read, replicas first, the least delayed first.
+
+    :param view: the group's tracker.
+    :param targets: targets that are in use.
+    :param need: what the read requires.
+    :param now_s: the loop's time.
+    """
+    replicas: list[tuple[int, str]] = []
+    primaries: list[str] = []
+    for target in targets:
+        tracked = view.tracked(target)
+        if tracked is None or not tracked.is_reachable:
+            continue
+        if not covers(tracked.status, need.token, view.term):
+            continue
+        if target == view.primary:
+            primaries.append(target)
+        elif not need.is_primary_only and is_fresh_enough(tracked, need.max_staleness_s, now_s):
+            replicas.append((-tracked.status.applied_position, target))
+    return [target for _, target in sorted(replicas)] + primaries
