--- /dev/null
+++ b/libs/gateway/src/pistachiowinch/gateway/exchange.py
@@ -0,0 +1,26 @@
+"""One exchange with a target, bounded in time."""
+
+import asyncio
+
+from pistachiowinch.links.targets import ExecuteOutcome, Lost, TargetConnection
+
+__all__ = ["exchange"]
+
+
+async def exchange(connection: TargetConnection, text: str, timeout_s: float) -> ExecuteOutcome:
+    """Run one statement and treat silence as a lost answer.
+
+    After a timeout the connection is unusable, so a late answer can reach nobody.
+
+    :param connection: a usable connection.
+    :param text: the SQL text.
+    :param timeout_s: seconds until the answer counts as lost.
+    :returns: the target's answer or error, or :class:`Lost`.
+    """
+    if not connection.is_usable:
+        return Lost(is_sent=False, reason="connection was already closed")
+    try:
+        async with asyncio.timeout(timeout_s):
+            return await connection.execute(text)
+    except TimeoutError:
+        return Lost(is_sent=True, reason=f"no answer for {timeout_s:g} s")
--- /dev/null
+++ b/libs/gateway/src/pistachiowinch/gateway/interfaces.py
@@ -0,0 +1,156 @@
+"""What the gateway uses of the other libraries.
+
+The gateway depends on these protocols only, so that scenarios can replace any of them.
+"""
+
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple, Protocol
+
+from returns.result import Result
+
+from pistachiowinch.base.codes import Refusal
+from pistachiowinch.base.identity import HostIdentity
+from pistachiowinch.configuration.document import Configuration
+from pistachiowinch.groups.confirmation import Confirmation
+from pistachiowinch.groups.ledger import Decision, LedgerEntry
+from pistachiowinch.limits.scheduler import SlotGrant, SlotRequest
+from pistachiowinch.links.targets import Answer, TargetConnection
+from pistachiowinch.routing.choice import GroupView
+
+__all__ = [
+    "ConfirmsWrites",
+    "DecidesOutcomes",
+    "GrantsSlots",
+    "GroupState",
+    "LimitsRates",
+    "LimitsRetries",
+    "PoolsConnections",
+    "ProvesStanding",
+    "ServiceParts",
+    "Services",
+    "TracksGroup",
+    "ViewsConfiguration",
+    "ViewsRoster",
+]
+
+
+class ViewsConfiguration(Protocol):
+    """The configuration in force at this host."""
+
+    @property
+    def current(self) -> Configuration:
+        """Newest version that this host knows."""
+
+
+class ViewsRoster(Protocol):
+    """The members of this host's site."""
+
+    @property
+    def members(self) -> tuple[HostIdentity, ...]:
+        """Members of the newest known roster."""
+
+    @property
+    def stable_since_s(self) -> float:
+        """Loop time since which no member has left as far as this host knows."""
+
+
+class ProvesStanding(Protocol):
+    """Whether this host's roster and configuration are proved to be current."""
+
+    def has_standing(self) -> bool:
+        """Return False while new work must be refused."""
+
+
+class LimitsRates(Protocol):
+    """Holds customers to their rates over all hosts."""
+
+    async def acquire(self, customer: str, deadline_s: float) -> Result[None, Refusal]:
+        """Take one token, waiting for a borrow round at most."""
+
+
+class LimitsRetries(Protocol):
+    """Bounds retries by a share of the successes."""
+
+    def try_spend(self, customer: str) -> bool:
+        """Take one retry from the customer's budget."""
+
+    def record_success(self, customer: str) -> None:
+        """Earn a part of a retry."""
+
+
+class GrantsSlots(Protocol):
+    """Grants the right to run a statement on a target now."""
+
+    async def acquire(self, request: SlotRequest) -> Result[SlotGrant, Refusal]:
+        """Wait in fair order for a slot on a target that the request may use."""
+
+    def release(self, grant: SlotGrant) -> None:
+        """Return a slot."""
+
+    def reconsider(self) -> None:
+        """Check the waiting requests again."""
+
+
+class TracksGroup(GroupView, Protocol):
+    """Tracker of one database group."""
+
+    async def refresh(self, targets: Iterable[str]) -> None:
+        """Read the state of targets once."""
+
+    def note_lost(self, target: str) -> None:
+        """Report a broken exchange, so that the target is probed at once."""
+
+
+class ConfirmsWrites(Protocol):
+    """Proves that a write is held by a majority under its own term."""
+
+    async def confirm(self, target: str, term: int, deadline_s: float) -> Confirmation:
+        """Run or share a status round that starts now."""
+
+
+class DecidesOutcomes(Protocol):
+    """SQL of the ledger and decisions about interrupted writes."""
+
+    def insert_text(self, entry: LedgerEntry, answer: Answer) -> str:
+        """SQL that records a write in its own transaction."""
+
+    async def decide(
+        self, entry: LedgerEntry, target: str, term: int, deadline_s: float
+    ) -> Decision:
+        """Find out whether a write ran, or make sure that it never can."""
+
+
+class PoolsConnections(Protocol):
+    """Connections of this host to one target."""
+
+    async def acquire(self, deadline_s: float) -> Result[TargetConnection, Refusal]:
+        """Take a connection that carries no exchange and no state."""
+
+    def release(self, connection: TargetConnection, is_clean: bool) -> None:
+        """Return a connection; one that is not clean is closed."""
+
+
+class GroupState(Protocol):
+    """State of a service's group that concerns new work."""
+
+    @property
+    def is_switching(self) -> bool:
+        """Whether a planned change of the primary holds new transactions back."""
+
+
+class ServiceParts(NamedTuple):
+    """Everything that runs statements of one service."""
+
+    tracker: TracksGroup
+    confirmer: ConfirmsWrites
+    ledger: DecidesOutcomes
+    scheduler: GrantsSlots
+    pools: Mapping[str, PoolsConnections]
+    group: GroupState
+
+
+class Services(Protocol):
+    """The services that this host serves now."""
+
+    def parts(self, service: str) -> ServiceParts | None:
+        """Return a service's parts, or None if the configuration does not name it."""
--- /dev/null
+++ b/libs/gateway/src/pistachiowinch/gateway/transactions.py
@@ -0,0 +1,314 @@
+"""Runs interactive transactions on one connection of the primary."""
+
+from returns.result import Failure, Result, Success
+
+from pistachiowinch.base.clock import now_s
+from pistachiowinch.base.codes import OUTCOME_UNKNOWN, TRANSACTION_ABORTED, Refusal
+from pistachiowinch.gateway.exchange import exchange
+from pistachiowinch.gateway.interfaces import ServiceParts
+from pistachiowinch.gateway.outcomes import DidNotRun, OutcomeResolver
+from pistachiowinch.gateway.work import Borrowed, RunContext
+from pistachiowinch.gateway.writes import DUPLICATE_KEY_ERRNO, new_request_id
+from pistachiowinch.groups.confirmation import Confirmed
+from pistachiowinch.groups.ledger import LedgerEntry, statement_digest
+from pistachiowinch.limits.scheduler import SlotGrant, SlotRequest
+from pistachiowinch.links.targets import Answer, Answered, ExecuteOutcome, Failed, Lost
+from pistachiowinch.routing.session import PinnedTransaction, Session
+from pistachiowinch.routing.statements import Statement, StatementKind
+
+__all__ = ["TransactionPath"]
+
+# MySQL rolls back the whole transaction on a deadlock, other errors only undo the statement.
+_DEADLOCK_ERRNO = 1213
+
+
+class TransactionPath:
+    """Pins a connection to a session while a transaction or connection state is open."""
+
+    def __init__(self, context: RunContext, outcomes: OutcomeResolver) -> None:
+        """Keep what all paths share."""
+        self._context = context
+        self._outcomes = outcomes
+
+    async def begin(
+        self, session: Session, statement: Statement, parts: ServiceParts, deadline_s: float
+    ) -> Result[Answer, Refusal | Failed]:
+        """Open a transaction on the primary.
+
+        :param session: a session without an open transaction.
+        :param statement: the caller's BEGIN or START TRANSACTION.
+        :param parts: the service's parts.
+        :param deadline_s: loop time at which the attempt is given up as not run.
+        """
+        result = await self._run_on_pin(session, statement, parts, deadline_s)
+        if not isinstance(result, Success):
+            return result
+        pinned = session.pinned
+        pinned.is_open = True
+        pinned.has_written = False
+        pinned.statement_texts = []
+        if session.is_token_doubtful:
+            confirmation = await parts.confirmer.confirm(pinned.target, pinned.term, deadline_s)
+            if not isinstance(confirmation, Confirmed):
+                return await self._aborted(session, parts, "no primary could be confirmed")
+        return Success(result.unwrap()._replace(is_in_transaction=True))
+
+    async def set_state(
+        self, session: Session, statement: Statement, parts: ServiceParts, deadline_s: float
+    ) -> Result[Answer, Refusal | Failed]:
+        """Run a statement that leaves state on the connection, which stays pinned from now on.
+
+        :param session: the caller's session.
+        :param statement: the statement.
+        :param parts: the service's parts.
+        :param deadline_s: loop time at which the attempt is given up as not run.
+        """
+        result = await self._run_on_pin(session, statement, parts, deadline_s)
+        if session.pinned is not None:
+            session.pinned.has_state = True
+        return result
+
+    async def run(
+        self, session: Session, statement: Statement, parts: ServiceParts, deadline_s: float
+    ) -> Result[Answer, Refusal | Failed]:
+        """Run a statement on the session's pinned connection.
+
+        :param session: a session with a pinned connection.
+        :param statement: a read or write.
+        :param parts: the service's parts.
+        :param deadline_s: loop time at which the statement is given up.
+        """
+        return await self._run_on_pin(session, statement, parts, deadline_s)
+
+    async def commit(
+        self,
+        session: Session,
+        statement: Statement,
+        parts: ServiceParts,
+        is_always_recorded: bool,
+        deadline_s: float,
+    ) -> Result[Answer, Refusal | Failed]:
+        """Commit the open transaction and confirm it.
+
+        :param session: a session with an open transaction.
+        :param statement: the caller's COMMIT, or a statement that commits implicitly.
+        :param parts: the service's parts.
+        :param is_always_recorded: whether a transaction without a request id is recorded too.
+        :param deadline_s: loop time at which the outcome is reported as unknown.
+        """
+        pinned = session.pinned
+        if not pinned.has_written:
+            return await self._end(session, parts, "COMMIT", deadline_s)
+        entry = self._entry(session, pinned, statement, is_always_recorded)
+        match await self._acquire_slot(session, parts, deadline_s):
+            case Failure(refusal):
+                await self.abandon(session, parts)
+                return Failure(refusal)
+            case Success(grant):
+                pass
+        try:
+            return await self._commit_recorded(session, parts, entry, deadline_s)
+        finally:
+            parts.scheduler.release(grant)
+
+    async def roll_back(
+        self, session: Session, parts: ServiceParts, deadline_s: float
+    ) -> Result[Answer, Refusal | Failed]:
+        """Roll the open transaction back.
+
+        :param session: a session with an open transaction.
+        :param parts: the service's parts.
+        :param deadline_s: loop time at which the connection is closed instead, which has the
+            same effect.
+        """
+        return await self._end(session, parts, "ROLLBACK", deadline_s)
+
+    async def abandon(self, session: Session, parts: ServiceParts | None) -> None:
+        """Close the pinned connection; the target rolls an open transaction back.
+
+        :param session: any session.
+        :param parts: the service's parts, or None if the service is gone.
+        """
+        pinned = session.pinned
+        if pinned is None:
+            return
+        session.pinned = None
+        pool = parts.pools.get(pinned.target) if parts is not None else None
+        if pool is None:
+            await pinned.connection.close()
+        else:
+            pool.release(pinned.connection, False)
+
+    def _entry(
+        self,
+        session: Session,
+        pinned: PinnedTransaction,
+        statement: Statement,
+        is_always_recorded: bool,
+    ) -> LedgerEntry | None:
+        request_id = statement.request_id or pinned.request_id
+        if request_id is None:
+            if not is_always_recorded:
+                return None
+            request_id = new_request_id()
+        digest = statement_digest("\n".join(pinned.statement_texts))
+        return LedgerEntry(session.customer, request_id, digest)
+
+    async def _commit_recorded(
+        self,
+        session: Session,
+        parts: ServiceParts,
+        entry: LedgerEntry | None,
+        deadline_s: float,
+    ) -> Result[Answer, Refusal | Failed]:
+        pinned = session.pinned
+        target, term = pinned.target, pinned.term
+        if entry is not None:
+            recorded = parts.ledger.insert_text(entry, Answer())
+            match await self._exchange(pinned, recorded, deadline_s):
+                case Failed(errno) as failed:
+                    await self.abandon(session, parts)
+                    if errno != DUPLICATE_KEY_ERRNO:
+                        return Failure(failed)
+                    decided = await self._outcomes.decide(
+                        session, parts, target, term, entry, deadline_s
+                    )
+                    return _aborted_if_not_run(decided)
+                case Lost(_, reason):
+                    return await self._aborted(session, parts, reason)
+        match await self._exchange(pinned, "COMMIT", deadline_s):
+            case Answered(answer):
+                self._unpin(session, parts)
+                acknowledged = await self._outcomes.acknowledge(
+                    session, parts, target, term, answer, entry, deadline_s
+                )
+                return _aborted_if_not_run(acknowledged)
+            case Lost(is_sent=False, reason=reason):
+                return await self._aborted(session, parts, reason)
+            case Failed(_, _, message) | Lost(_, message):
+                parts.tracker.note_lost(target)
+                await self.abandon(session, parts)
+                if entry is None:
+                    return _aborted_if_not_run(_lost_commit(message))
+                decided = await self._outcomes.decide(
+                    session, parts, target, term, entry, deadline_s
+                )
+                return _aborted_if_not_run(decided)
+
+    async def _end(
+        self, session: Session, parts: ServiceParts, text: str, deadline_s: float
+    ) -> Result[Answer, Refusal | Failed]:
+        """End a transaction that needs no confirmation."""
+        match await self._exchange(session.pinned, text, deadline_s):
+            case Answered(answer):
+                self._unpin(session, parts)
+                return Success(answer._replace(is_in_transaction=False))
+            case Failed() | Lost():
+                await self.abandon(session, parts)
+                return Success(Answer())
+
+    def _unpin(self, session: Session, parts: ServiceParts) -> None:
+        pinned = session.pinned
+        pinned.is_open = False
+        pinned.has_written = False
+        pinned.request_id = None
+        pinned.statement_texts = []
+        if pinned.has_state:
+            return
+        session.pinned = None
+        pool = parts.pools.get(pinned.target)
+        if pool is not None:
+            pool.release(pinned.connection, pinned.connection.is_usable)
+
+    async def _aborted(
+        self, session: Session, parts: ServiceParts, reason: str
+    ) -> Result[Answer, Refusal]:
+        parts.tracker.note_lost(session.pinned.target)
+        await self.abandon(session, parts)
+        return Failure(Refusal(TRANSACTION_ABORTED, f"the transaction was rolled back: {reason}"))
+
+    async def _exchange(
+        self, pinned: PinnedTransaction, text: str, deadline_s: float
+    ) -> ExecuteOutcome:
+        timeout_s = min(self._context.settings.exchange_timeout_s, deadline_s - now_s())
+        return await exchange(pinned.connection, text, timeout_s)
+
+    async def _acquire_slot(
+        self, session: Session, parts: ServiceParts, deadline_s: float
+    ) -> Result[SlotGrant, Refusal]:
+        target = session.pinned.target
+        weight = self._context.weight(session.customer)
+        request = SlotRequest(
+            session.customer, weight, deadline_s, lambda candidate: candidate == target
+        )
+        return await parts.scheduler.acquire(request)
+
+    async def _pin(
+        self, session: Session, parts: ServiceParts, deadline_s: float
+    ) -> Result[SlotGrant, Refusal]:
+        """Take a slot for one statement, and a connection if the session has none."""
+        if session.pinned is not None:
+            if session.pinned.term != parts.tracker.term:
+                # The pinned target is no longer the primary, so its data may be discarded.
+                return await self._aborted(session, parts, "the primary was replaced")
+            return await self._acquire_slot(session, parts, deadline_s)
+        may_use = self._context.primary_filter(session, parts)
+        borrowed = await self._context.borrow(session, parts, may_use, deadline_s)
+        return borrowed.map(lambda held: _pin_connection(session, held))
+
+    async def _run_on_pin(
+        self, session: Session, statement: Statement, parts: ServiceParts, deadline_s: float
+    ) -> Result[Answer, Refusal | Failed]:
+        match await self._pin(session, parts, deadline_s):
+            case Failure(refusal):
+                return Failure(refusal)
+            case Success(grant):
+                pass
+        is_answered = False
+        try:
+            outcome = await self._exchange(session.pinned, statement.text, deadline_s)
+            is_answered = True
+        finally:
+            parts.scheduler.release(grant)
+            if not is_answered:
+                await self.abandon(session, parts)
+        return await self._after(session, statement, parts, outcome)
+
+    async def _after(
+        self,
+        session: Session,
+        statement: Statement,
+        parts: ServiceParts,
+        outcome: ExecuteOutcome,
+    ) -> Result[Answer, Refusal | Failed]:
+        pinned = session.pinned
+        match outcome:
+            case Answered(answer):
+                if statement.kind is StatementKind.WRITE:
+                    pinned.has_written = True
+                pinned.request_id = statement.request_id or pinned.request_id
+                pinned.statement_texts.append(statement.text)
+                return Success(answer)
+            case Failed(errno):
+                if errno == _DEADLOCK_ERRNO or not (pinned.is_open or pinned.has_state):
+                    await self.abandon(session, parts)
+                return Failure(outcome)
+            case Lost(_, reason):
+                return await self._aborted(session, parts, reason)
+
+
+def _pin_connection(session: Session, held: Borrowed) -> SlotGrant:
+    session.pinned = PinnedTransaction(held.connection, held.grant.target, held.term)
+    return held.grant
+
+
+def _lost_commit(reason: str) -> Result[Answer, Refusal]:
+    return Failure(Refusal(OUTCOME_UNKNOWN, f"the answer to COMMIT was lost: {reason}"))
+
+
+def _aborted_if_not_run(
+    result: Result[Answer, Refusal] | DidNotRun,
+) -> Result[Answer, Refusal | Failed]:
+    if isinstance(result, DidNotRun):
+        return Failure(Refusal(TRANSACTION_ABORTED, "the transaction was rolled back"))
+    return result
--- /dev/null
+++ b/libs/gateway/src/pistachiowinch/gateway/work.py
@@ -0,0 +1,202 @@
+"""Slots and connections for statements, with their safe return."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from returns.result import Failure, Result, Success
+
+from pistachiowinch.base.clock import now_s, sleep_s
+from pistachiowinch.base.codes import DEADLINE_PASSED, Refusal
+from pistachiowinch.base.metrics import Metrics
+from pistachiowinch.configuration.document import Configuration
+from pistachiowinch.gateway.interfaces import (
+    LimitsRetries,
+    PoolsConnections,
+    ServiceParts,
+    Services,
+    ViewsConfiguration,
+)
+from pistachiowinch.gateway.settings import GatewaySettings
+from pistachiowinch.limits.scheduler import SlotGrant, SlotRequest
+from pistachiowinch.links.targets import TargetConnection
+from pistachiowinch.routing.session import Session
+
+__all__ = ["Borrowed", "RunContext", "TargetUse"]
+
+
+class Borrowed(NamedTuple):
+    """A slot and a connection of one target, held by one statement or transaction.
+
+    :param term: the group's term when the connection was taken.
+    """
+
+    parts: ServiceParts
+    grant: SlotGrant
+    pool: PoolsConnections
+    connection: TargetConnection
+    term: int
+
+    def release(self, is_clean: bool) -> None:
+        """Return both; the connection is closed unless it is clean."""
+        self.pool.release(self.connection, is_clean and self.connection.is_usable)
+        self.parts.scheduler.release(self.grant)
+
+
+class TargetUse:
+    """Which targets may take new work under the configuration in force.
+
+    :param grace_s: how long a leaving target still takes writes while it is the primary.
+    """
+
+    def __init__(self, grace_s: float) -> None:
+        """Start without any leaving target."""
+        self._grace_s = grace_s
+        self._left_at_s: dict[tuple[str, str], float] = {}
+        self._in_use: dict[str, frozenset[str]] = {}
+
+    def update(self, configuration: Configuration) -> None:
+        """Take over a new configuration.
+
+        :param configuration: the version in force from now on.
+        """
+        document = configuration.document
+        zones = document["availability_zones"]
+        out = {name for name, entry in zones.items() if entry["state"] == "out"}
+        left: dict[tuple[str, str], float] = {}
+        for service, entry in document["services"].items():
+            usable = set()
+            for target, target_entry in entry["targets"].items():
+                is_out = target_entry["availability_zone"] in out
+                if is_out or target_entry["state"] == "leaving":
+                    left[service, target] = self._left_at_s.get((service, target), now_s())
+                else:
+                    usable.add(target)
+            self._in_use[service] = frozenset(usable)
+        for service in set(self._in_use) - set(document["services"]):
+            del self._in_use[service]
+        self._left_at_s = left
+
+    def in_use(self, service: str) -> frozenset[str]:
+        """Targets that may take any new work.
+
+        :param service: the service's name.
+        """
+        return self._in_use.get(service, frozenset())
+
+    def may_write(self, service: str, primary: str) -> bool:
+        """Tell whether the primary may take a new write.
+
+        :param service: the service's name.
+        :param primary: the current primary.
+        """
+        if primary in self.in_use(service):
+            return True
+        left_at_s = self._left_at_s.get((service, primary))
+        return left_at_s is not None and now_s() - left_at_s < self._grace_s
+
+
+class RunContext:
+    """What all paths of the gateway share."""
+
+    def __init__(
+        self,
+        services: Services,
+        configuration: ViewsConfiguration,
+        use: TargetUse,
+        retries: LimitsRetries,
+        metrics: Metrics,
+        settings: GatewaySettings,
+    ) -> None:
+        """Keep the parts."""
+        self.services = services
+        self.use = use
+        self.retries = retries
+        self.metrics = metrics
+        self.settings = settings
+        self._configuration = configuration
+
+    def weight(self, customer: str) -> float:
+        """Return a customer's weight in fair queues."""
+        entry = self._configuration.current.document["customers"].get(customer)
+        return entry["weight"] if entry else 1.0
+
+    def may_retry(self, customer: str, reason: str) -> bool:
+        """Spend one retry of a customer's budget and count it.
+
+        :param customer: whose budget pays.
+        :param reason: label of the counter.
+        """
+        if not self.retries.try_spend(customer):
+            self.metrics.retries.labels(reason="budget_exhausted").inc()
+            return False
+        self.metrics.retries.labels(reason=reason).inc()
+        return True
+
+    def primary_filter(self, session: Session, parts: ServiceParts) -> Callable[[str], bool]:
+        """Build the check for statements that need the primary.
+
+        :param session: the caller's session.
+        :param parts: the service's parts.
+        """
+        service = session.service
+
+        def may_use(target: str) -> bool:
+            if parts.group.is_switching or target != parts.tracker.primary:
+                return False
+            if session.token is not None and session.token.term > parts.tracker.term:
+                # This host has not heard of the promotion that the session has seen.
+                return False
+            return self.use.may_write(service, target)
+
+        return may_use
+
+    async def borrow(
+        self,
+        session: Session,
+        parts: ServiceParts,
+        may_use: Callable[[str], bool],
+        deadline_s: float,
+    ) -> Result[Borrowed, Refusal]:
+        """Wait for a slot and a connection on a target that may be used.
+
+        A target that refuses connections has received nothing, so another attempt needs no
+        retry budget; it only waits for a back-off.
+
+        :param session: the caller's session.
+        :param parts: the service's parts.
+        :param may_use: check of a target at the moment at which its slot is free.
+        :param deadline_s: loop time at which the request is given up as not run.
+        """
+        request = SlotRequest(
+            session.customer, self.weight(session.customer), deadline_s, may_use
+        )
+        while True:
+            match await parts.scheduler.acquire(request):
+                case Success(grant):
+                    pass
+                case refused:
+                    return refused
+            held = await self._connect(parts, grant, deadline_s)
+            if isinstance(held, Success):
+                return held
+            parts.tracker.note_lost(grant.target)
+            self.metrics.retries.labels(reason="connect_failed").inc()
+            if now_s() + self.settings.connect_backoff_s >= deadline_s:
+                return Failure(Refusal(DEADLINE_PASSED, "no target accepted a connection in time"))
+            await sleep_s(self.settings.connect_backoff_s)
+
+    async def _connect(
+        self, parts: ServiceParts, grant: SlotGrant, deadline_s: float
+    ) -> Result[Borrowed, Refusal]:
+        term = parts.tracker.term
+        is_connected = False
+        try:
+            pool = parts.pools[grant.target]
+            connected = await pool.acquire(deadline_s)
+            is_connected = isinstance(connected, Success)
+        finally:
+            if not is_connected:
+                parts.scheduler.release(grant)
+        return connected.map(
+            lambda connection: Borrowed(parts, grant, pool, connection, term)
+        )
--- /dev/null
+++ b/libs/gateway/src/pistachiowinch/gateway/writes.py
@@ -0,0 +1,244 @@
+"""Runs writes outside transactions, at most once each."""
+
+import enum
+import uuid
+from typing import NamedTuple
+
+from returns.result import Failure, Result, Success
+
+from pistachiowinch.base.clock import now_s
+from pistachiowinch.base.codes import INTERRUPTED_NOT_RUN, OUTCOME_UNKNOWN, Refusal
+from pistachiowinch.gateway.exchange import exchange
+from pistachiowinch.gateway.interfaces import ServiceParts
+from pistachiowinch.gateway.outcomes import DidNotRun, OutcomeResolver
+from pistachiowinch.gateway.work import Borrowed, RunContext
+from pistachiowinch.groups.ledger import LedgerEntry, statement_digest
+from pistachiowinch.links.targets import Answer, Answered, ExecuteOutcome, Failed, Lost
+from pistachiowinch.routing.session import Session
+from pistachiowinch.routing.statements import Statement, StatementKind
+
+__all__ = ["DUPLICATE_KEY_ERRNO", "WritePath", "new_request_id"]
+
+DUPLICATE_KEY_ERRNO = 1062
+
+
+class _Step(enum.Enum):
+    """How far an attempt came before its connection was lost."""
+
+    BEFORE_COMMIT = "before_commit"
+    COMMIT_SENT = "commit_sent"
+
+
+class _Done(NamedTuple):
+    """The target committed the write."""
+
+    answer: Answer
+
+
+class _Interrupted(NamedTuple):
+    """The connection was lost at a step."""
+
+    step: _Step
+    reason: str
+
+
+class _Duplicate(NamedTuple):
+    """The ledger holds the request id already."""
+
+
+class _Refused(NamedTuple):
+    """The target refused the statement and the attempt was rolled back."""
+
+    failed: Failed
+
+
+_Attempt = _Done | _Interrupted | _Duplicate | _Refused
+
+
+def new_request_id() -> str:
+    """Return a request id for a write to which the caller gave none."""
+    return f"pw-{uuid.uuid4().hex}"
+
+
+class WritePath:
+    """Runs one write of one session."""
+
+    def __init__(self, context: RunContext, outcomes: OutcomeResolver) -> None:
+        """Keep what all paths share."""
+        self._context = context
+        self._outcomes = outcomes
+
+    async def run(
+        self,
+        session: Session,
+        statement: Statement,
+        parts: ServiceParts,
+        is_always_recorded: bool,
+        deadline_s: float,
+    ) -> Result[Answer, Refusal | Failed]:
+        """Run a write until its outcome is decided.
+
+        :param session: the caller's session.
+        :param statement: the write.
+        :param parts: the service's parts.
+        :param is_always_recorded: whether a write without a caller's request id is recorded too.
+        :param deadline_s: loop time at which the write is given up.
+        """
+        entry = self._entry(session, statement, is_always_recorded)
+        while True:
+            may_use = self._context.primary_filter(session, parts)
+            match await self._context.borrow(session, parts, may_use, deadline_s):
+                case Success(held):
+                    pass
+                case Failure(refusal):
+                    return Failure(refusal)
+            attempt = await self._attempt(held, statement, entry, deadline_s)
+            result = await self._settle(session, statement, held, attempt, entry, deadline_s)
+            if not isinstance(result, DidNotRun):
+                return result
+            if now_s() >= deadline_s or not self._context.may_retry(
+                session.customer, "write_did_not_run"
+            ):
+                return Failure(Refusal(INTERRUPTED_NOT_RUN, "the target was lost during the write"))
+
+    def _entry(
+        self, session: Session, statement: Statement, is_always_recorded: bool
+    ) -> LedgerEntry | None:
+        if statement.kind is StatementKind.DDL:
+            return None
+        request_id = statement.request_id
+        if request_id is None:
+            if not is_always_recorded:
+                return None
+            request_id = new_request_id()
+        return LedgerEntry(session.customer, request_id, statement_digest(statement.text))
+
+    async def _attempt(
+        self,
+        held: Borrowed,
+        statement: Statement,
+        entry: LedgerEntry | None,
+        deadline_s: float,
+    ) -> _Attempt:
+        is_clean = False
+        try:
+            if entry is None:
+                attempt = await self._run_bare(held, statement, deadline_s)
+            else:
+                attempt = await self._run_recorded(held, statement, entry, deadline_s)
+            is_clean = not isinstance(attempt, _Interrupted)
+            return attempt
+        finally:
+            held.release(is_clean)
+
+    async def _exchange(self, held: Borrowed, text: str, deadline_s: float) -> ExecuteOutcome:
+        remaining_s = deadline_s - now_s()
+        timeout_s = min(self._context.settings.exchange_timeout_s, remaining_s)
+        return await exchange(held.connection, text, timeout_s)
+
+    async def _run_bare(
+        self, held: Borrowed, statement: Statement, deadline_s: float
+    ) -> _Attempt:
+        match await self._exchange(held, statement.text, deadline_s):
+            case Answered(answer):
+                return _Done(answer)
+            case Failed() as failed:
+                return _Refused(failed)
+            case Lost(is_sent, reason):
+                step = _Step.COMMIT_SENT if is_sent else _Step.BEFORE_COMMIT
+                return _Interrupted(step, reason)
+
+    async def _run_recorded(
+        self, held: Borrowed, statement: Statement, entry: LedgerEntry, deadline_s: float
+    ) -> _Attempt:
+        match await self._exchange(held, "BEGIN", deadline_s):
+            case Failed() as failed:
+                return _Refused(failed)
+            case Lost(_, reason):
+                return _Interrupted(_Step.BEFORE_COMMIT, reason)
+        match await self._exchange(held, statement.text, deadline_s):
+            case Answered(answer):
+                pass
+            case Failed() as failed:
+                return await self._roll_back(held, _Refused(failed), deadline_s)
+            case Lost(_, reason):
+                return _Interrupted(_Step.BEFORE_COMMIT, reason)
+        recorded = held.parts.ledger.insert_text(entry, answer)
+        match await self._exchange(held, recorded, deadline_s):
+            case Failed(errno) as failed:
+                is_duplicate = errno == DUPLICATE_KEY_ERRNO
+                attempt = _Duplicate() if is_duplicate else _Refused(failed)
+                return await self._roll_back(held, attempt, deadline_s)
+            case Lost(_, reason):
+                return _Interrupted(_Step.BEFORE_COMMIT, reason)
+        match await self._exchange(held, "COMMIT", deadline_s):
+            case Answered():
+                return _Done(answer._replace(is_in_transaction=False))
+            case Failed(_, _, message):
+                # A target that refuses COMMIT was fenced; the connection is not used again.
+                return _Interrupted(_Step.COMMIT_SENT, message)
+            case Lost(is_sent, reason):
+                step = _Step.COMMIT_SENT if is_sent else _Step.BEFORE_COMMIT
+                return _Interrupted(step, reason)
+
+    async def _roll_back(
+        self, held: Borrowed, attempt: _Attempt, deadline_s: float
+    ) -> _Attempt:
+        match await self._exchange(held, "ROLLBACK", max(deadline_s, now_s() + 0.1)):
+            case Answered():
+                return attempt
+            case _:
+                await held.connection.close()
+                return attempt
+
+    async def _settle(
+        self,
+        session: Session,
+        statement: Statement,
+        held: Borrowed,
+        attempt: _Attempt,
+        entry: LedgerEntry | None,
+        deadline_s: float,
+    ) -> Result[Answer, Refusal | Failed] | DidNotRun:
+        parts, target, term = held.parts, held.grant.target, held.term
+        match attempt:
+            case _Done(answer):
+                return await self._outcomes.acknowledge(
+                    session, parts, target, term, answer, entry, deadline_s
+                )
+            case _Duplicate():
+                return await self._outcomes.decide(
+                    session, parts, target, term, entry, deadline_s
+                )
+            case _Refused(failed):
+                if entry is None or statement.request_id is None:
+                    return Failure(failed)
+                return await self._stored_or(session, held, entry, failed, deadline_s)
+            case _Interrupted(step, reason):
+                parts.tracker.note_lost(target)
+                if step is _Step.BEFORE_COMMIT:
+                    return DidNotRun()
+                if entry is not None:
+                    return await self._outcomes.decide(
+                        session, parts, target, term, entry, deadline_s
+                    )
+                if statement.is_idempotent:
+                    return DidNotRun()
+                return Failure(Refusal(OUTCOME_UNKNOWN, reason))
+
+    async def _stored_or(
+        self,
+        session: Session,
+        held: Borrowed,
+        entry: LedgerEntry,
+        failed: Failed,
+        deadline_s: float,
+    ) -> Result[Answer, Refusal | Failed]:
+        """Prefer the stored answer of an earlier attempt to an error of this one.
+
+        A repeated INSERT fails on the row that its first attempt inserted.
+        """
+        found = await self._outcomes.find(
+            session, held.parts, held.grant.target, held.term, entry, deadline_s
+        )
+        return Failure(failed) if isinstance(found, DidNotRun) else found
