Carry the pending configuration version in heartbeats

Cause: a patch whose submitter dies between the store transaction and its announcement is unknown to every host; with the store down, a majority that still holds the replaced version would confirm it to each other for ever. Change: one optional field in Heartbeat and LocalState. Conclusion: the membership has to copy LocalState.config_pending into its heartbeats.

--- a/libs/peering/src/pistachiowinch/peering/messages.py
+++ b/libs/peering/src/pistachiowinch/peering/messages.py
@@ -29,6 +29,8 @@
     :param suspected_hosts: members that this host has not heard for the suspicion time.
     :param primaries: newest known primary of each service.
     :param heard: hosts heard from within the last intervals.
+    :param config_pending: highest configuration version that this host knows or must assume to be
+        accepted; above ``config_version`` the sender does not confirm its own version.
     """
 
     host: str
@@ -43,6 +45,7 @@
     suspected_hosts: tuple[str, ...] = ()
     primaries: dict[str, AnnouncedPrimary] = {}
     heard: tuple[str, ...] = ()
+    config_pending: int = 0
 
 
 class LocalState(NamedTuple):
@@ -53,6 +56,7 @@
     store_age_ms: int
     suspected_targets: tuple[str, ...]
     primaries: dict[str, AnnouncedPrimary]
+    config_pending: int = 0
 
 
 class ReceivedHeartbeat(NamedTuple):
