--- a/libs/peering/src/pistachiowinch/peering/endpoint.py
+++ b/libs/peering/src/pistachiowinch/peering/endpoint.py
@@ -28,17 +28,23 @@
 class Envelope(msgspec.Struct, array_like=True, frozen=True):
     """What travels between two hosts.
 
+    :param receiver: the host it is meant for. Another host may have taken over the address of a
+        dead one; without this check its sequence numbers would be confused.
     :param kind: 0 for a message, 1 for a request, 2 for an answer.
     :param call: identifies a request and its answer; 0 for messages.
     :param tag: tag of the body's type.
     :param body: the encoded message.
+    :param address: where the sender receives answers; only in requests, for peers that do not
+        know the sender yet.
     """
 
     sender: str
+    receiver: str
     kind: int
     call: int
     tag: str
     body: msgspec.Raw
+    address: str = ""
 
 
 class _PendingCall:
@@ -64,11 +70,13 @@
 
     :param host: this host's name.
     :param metrics: counters of messages and bytes; a private set by default.
+    :param address: where peers reach this host; empty if the carrier delivers by name.
     """
 
-    def __init__(self, host: str, metrics: Metrics | None = None) -> None:
+    def __init__(self, host: str, metrics: Metrics | None = None, address: str = "") -> None:
         """Create an end without handlers."""
         self.host = host
+        self.address = address
         self.metrics = metrics or Metrics()
         self._encoder = msgspec.msgpack.Encoder()
         self._envelope_decoder = msgspec.msgpack.Decoder(Envelope)
@@ -141,6 +149,9 @@
         except (msgspec.DecodeError, UnicodeDecodeError):
             self._count("malformed", "envelope")
             return
+        if envelope.receiver != self.host:
+            self._count("misaddressed", "envelope")
+            return
         decoder = self._decoders.get(envelope.tag)
         if decoder is None:
             # The tag comes from outside, so it must not become a label of its own.
@@ -173,11 +184,16 @@
     def _post(self, host: str, kind: int, call: int, message: msgspec.Struct) -> None:
         tag = _tag_of(type(message))
         body = msgspec.Raw(self._encoder.encode(message))
-        data = self._encoder.encode(Envelope(self.host, kind, call, tag, body))
+        address = self.address if kind == _REQUEST else ""
+        envelope = Envelope(self.host, host, kind, call, tag, body, address)
+        data = self._encoder.encode(envelope)
         self._count("sent", tag)
         self._sent_bytes.inc(len(data))
         self._transmit(host, data)
 
+    def _learn_address(self, host: str, address: str) -> None:
+        """Note where a requester receives its answer; carriers by name ignore it."""
+
     def _dispatch(self, envelope: Envelope, body: msgspec.Struct) -> None:
         if envelope.kind == _ANSWER:
             self._accept_answer(envelope, body)
@@ -210,6 +226,8 @@
         if len(self._running) >= MAX_RUNNING_HANDLERS:
             self._count("overflow", envelope.tag)
             return
+        if envelope.address:
+            self._learn_address(envelope.sender, envelope.address)
         task = asyncio.get_running_loop().create_task(self._answer(envelope, body))
         self._running.add(task)
         task.add_done_callback(self._running.discard)
--- /dev/null
+++ b/tests/peering/test_membership.py
@@ -0,0 +1,223 @@
+"""Guards against hosts that count delayed, doubled or misdirected heartbeats as fresh."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from pistachiowinch.base.clock import now_s, sleep_s
+from pistachiowinch.base.identity import HostIdentity
+from pistachiowinch.base.metrics import Metrics
+from pistachiowinch.links.hosts import ListedHost
+from pistachiowinch.peering.membership import Membership
+from pistachiowinch.peering.messages import LocalState
+from pistachiowinch.standins.peer_network import NetworkFaults, PeerNetwork
+
+pytestmark = pytest.mark.looptime
+
+STATE = LocalState(1, 1, -1, (), {})
+
+
+def identity(host, incarnation=1, port=1):
+    return HostIdentity(host, incarnation, "zone-a", f"tcp://127.0.0.1:{port}")
+
+
+class FakeHostList:
+    def __init__(self, *entries):
+        self.entries = entries
+        self.is_failing = False
+
+    async def hosts(self):
+        if self.is_failing:
+            raise OSError("host list unavailable")
+        return self.entries
+
+
+class Site:
+    def __init__(self, seed=0, host_list=None):
+        self.network = PeerNetwork(seed)
+        self.host_list = host_list
+        self.members, self.tasks, self.metrics = {}, {}, {}
+
+    def start(self, host, incarnation=1, members=()):
+        link = self.network.link(host)
+        self.metrics[host] = Metrics()
+        member = Membership(
+            identity(host, incarnation), link, lambda: STATE, self.host_list, self.metrics[host]
+        )
+        member.set_members([identity(name) for name in members])
+        self.members[host] = member
+        self.tasks[host] = asyncio.ensure_future(member.run())
+        return member
+
+    def kill(self, host):
+        self.network.detach(host)
+        self.tasks.pop(host).cancel()
+
+    def dropped(self, host, reason):
+        return self.metrics[host].peer_messages.labels("dropped", reason)._value.get()
+
+    async def stop(self):
+        for task in self.tasks.values():
+            task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+
+
+@contextlib.asynccontextmanager
+async def running_site():
+    # Not a fixture: the clock is paused only inside the test function.
+    site = Site(seed=11)
+    for host in ("a", "b", "c"):
+        site.start(host, members=("a", "b", "c"))
+    await sleep_s(1.0)
+    yield site
+    await site.stop()
+
+
+def with_site(test):
+    async def wrapper():
+        async with running_site() as site:
+            await test(site)
+
+    wrapper.__name__ = test.__name__
+    return wrapper
+
+
+@with_site
+async def test_silent_host_is_suspected_and_a_restarted_one_is_not(site):
+    a = site.members["a"]
+    assert a.contacts(0.5) == {"a", "b", "c"} and a.suspected_hosts == frozenset()
+    site.kill("b")
+    await sleep_s(0.9)
+    assert a.suspected_hosts == frozenset()
+    await sleep_s(0.4)
+    assert a.suspected_hosts == {"b"} and a.contacts(0.5) == {"a", "c"}
+    assert a.last_heartbeat("c").heartbeat.suspected_hosts == ("b",)
+    site.start("b", incarnation=2, members=("a", "b", "c"))
+    await sleep_s(1.0)
+    assert a.suspected_hosts == frozenset() and a.contacts(0.5) == {"a", "b", "c"}
+
+
+@with_site
+async def test_delayed_heartbeats_are_heard_but_are_not_fresh_evidence(site):
+    a = site.members["a"]
+    site.network.set_one_way_delay(1.5, "b", "a")
+    await sleep_s(6.0)
+    assert "b" not in a.suspected_hosts
+    last = a.last_heartbeat("b")
+    assert now_s() - last.received_s < 0.3 and now_s() - last.evidence_s >= 1.5
+    assert a.contacts(1.4) == {"a", "c"}
+
+
+@with_site
+async def test_one_way_cut_leaves_no_evidence_and_asks_for_a_new_connection(site):
+    a = site.members["a"]
+    link = site.network._links["a"]
+    site.network.cut("a", "b", is_one_way=True)
+    await sleep_s(1.5)
+    assert "b" not in a.suspected_hosts and "b" not in a.contacts(1.0)
+    assert site.members["b"].suspected_hosts == {"a"}
+    await sleep_s(10.0)
+    assert link.renewed.count("b") in range(3, 7) and link.renewed.count("c") == 0
+
+
+@with_site
+async def test_old_sequences_and_incarnations_are_dropped(site):
+    a = site.members["a"]
+    site.network.set_faults(NetworkFaults(duplication=0.5, reordering=0.5, extra_delay_s=0.6))
+    sequences = []
+    a.heartbeats.subscribe(lambda received: sequences.append(received.heartbeat.sequence))
+    await sleep_s(5.0)
+    assert site.dropped("a", "old_sequence") > 0
+    site.network.pause("b")
+    await sleep_s(0.3)
+    held = [entry for entry in site.network._held["b"] if entry[0] == "b"]
+    assert held
+    site.kill("b")
+    site.start("b", incarnation=2, members=("a", "b", "c"))
+    await sleep_s(1.0)
+    for sender, receiver, data in held:
+        site.network._deliver(sender, receiver, data)
+    assert site.dropped("a", "old_incarnation") > 0
+    assert a.last_heartbeat("b").heartbeat.incarnation == 2
+
+
+@with_site
+async def test_paused_host_counts_nothing_from_the_pause_as_fresh(site):
+    a = site.members["a"]
+    site.network.pause("a")
+    await sleep_s(3.0)
+    site.network.resume("a")
+    assert a.contacts(1.5) == {"a"}
+    await sleep_s(1.0)
+    assert a.contacts(0.5) == {"a", "b", "c"}
+
+
+@with_site
+async def test_restart_without_incarnation_is_accepted_again(site):
+    a = site.members["a"]
+    for _ in range(4):
+        site.kill("b")
+        await sleep_s(0.5)
+        site.start("b", incarnation=0, members=("a", "b", "c"))
+        await sleep_s(1.0)
+        assert a.last_heartbeat("b").heartbeat.incarnation == 0
+        assert a.contacts(0.5) == {"a", "b", "c"}
+    site.members["b"].set_identity(identity("b", 7))
+    await sleep_s(1.0)
+    assert a.last_heartbeat("b").heartbeat.incarnation == 7 and "b" in a.contacts(0.5)
+    assert "a" in site.members["b"].contacts(0.5)
+
+
+@with_site
+async def test_peer_forgotten_by_one_side_only_is_accepted_again(site):
+    a = site.members["a"]
+    a.set_members([identity("c")])
+    assert a.peers == ("c",) and a.contacts(1.0) == {"a", "c"}
+    await sleep_s(0.4)
+    a.set_members([identity("b"), identity("c")])
+    await sleep_s(0.6)
+    assert "b" in a.contacts(0.5) and "a" in site.members["b"].contacts(0.5)
+
+
+async def test_host_list_only_proposes_addresses():
+    entries = (
+        ListedHost("b", "tcp://127.0.0.1:99", False),
+        ListedHost("n", "tcp://127.0.0.1:5", False),
+        ListedHost("c", "tcp://127.0.0.1:6", True),
+    )
+    host_list = FakeHostList(*entries)
+    site = Site(host_list=host_list)
+    a = site.start("a", members=("a", "b"))
+    await sleep_s(0.1)
+    link = site.network._links["a"]
+    assert link.addresses == {"b": "tcp://127.0.0.1:1", "n": "tcp://127.0.0.1:5"}
+    assert a.leaving_hosts == {"c"}
+    host_list.is_failing = True
+    await sleep_s(5.0)
+    assert a.peers == ("b", "n") and a.suspected_hosts == {"b"}
+    host_list.is_failing, host_list.entries = False, ()
+    await sleep_s(3.0)
+    assert a.peers == ("b",)
+    await site.stop()
+
+
+async def test_failing_local_state_does_not_end_the_heartbeats():
+    site = Site()
+    site.start("b", members=("a", "b"))
+    states = iter([STATE, RuntimeError("tracker closed")] + [STATE] * 100)
+
+    def local_state():
+        state = next(states)
+        if isinstance(state, Exception):
+            raise state
+        return state
+
+    link = site.network.link("a")
+    member = Membership(identity("a"), link, local_state)
+    member.set_members([identity("b")])
+    site.tasks["a"] = asyncio.ensure_future(member.run())
+    await sleep_s(2.0)
+    assert member.contacts(0.5) == {"a", "b"}
+    await site.stop()
