--- /dev/null
+++ b/libs/limits/src/pistachiowinch/limits/counters.py
@@ -0,0 +1,56 @@
+"""Counters of limits, in the registry of the host's metrics."""
+
+import weakref
+
+from prometheus_client import Counter
+
+from pistachiowinch.base.codes import Refusal, ResultCode
+from pistachiowinch.base.metrics import Metrics
+
+__all__ = ["LimitCounters", "limit_counters"]
+
+_by_metrics: weakref.WeakKeyDictionary = weakref.WeakKeyDictionary()
+
+
+class LimitCounters:
+    """Refusals and events of all limits of one host."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        """Register the counters; use :func:`limit_counters` instead."""
+        self._refusals = metrics.refusals
+        self._tokens = Counter(
+            "pistachiowinch_rate_tokens",
+            "Rate tokens by what happened to them",
+            ["event"],
+            registry=metrics.registry,
+        )
+        self._permits = Counter(
+            "pistachiowinch_permit_events",
+            "Slot permits and requests by what happened to them",
+            ["event"],
+            registry=metrics.registry,
+        )
+
+    def refuse(self, code: ResultCode, detail: str) -> Refusal:
+        """Count a refusal and build it."""
+        self._refusals.labels(code.label).inc()
+        return Refusal(code, detail)
+
+    def tokens(self, event: str, amount: float) -> None:
+        """Count rate tokens, such as ``borrowed``, ``returned`` or ``expired``."""
+        if amount > 0.0:
+            self._tokens.labels(event).inc(amount)
+
+    def permits(self, event: str, amount: int = 1) -> None:
+        """Count permits, such as ``granted``, ``expired`` or ``fallback``."""
+        if amount:
+            self._permits.labels(event).inc(amount)
+
+
+def limit_counters(metrics: Metrics) -> LimitCounters:
+    """Return the counters of a host; the same object for the same metrics."""
+    counters = _by_metrics.get(metrics)
+    if counters is None:
+        counters = LimitCounters(metrics)
+        _by_metrics[metrics] = counters
+    return counters
--- /dev/null
+++ b/libs/limits/src/pistachiowinch/limits/rates.py
@@ -0,0 +1,581 @@
+"""Rates of customers, enforced by escrow: each host holds a part and borrows from its peers.
+
+Only tokens that a host holds are spent, and every token exists once. Lost, doubled and late
+messages, dead and paused hosts can therefore destroy tokens but not create them.
+"""
+
+import asyncio
+import math
+import random
+from collections import deque
+from collections.abc import Callable, Coroutine, Mapping, Sequence
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from returns.result import Failure, Result, Success
+
+from pistachiowinch.base.clock import now_s, sleep_s
+from pistachiowinch.base.codes import RATE_EXCEEDED, Refusal
+from pistachiowinch.base.hashing import rendezvous_order
+from pistachiowinch.base.logs import part_logger
+from pistachiowinch.base.metrics import Metrics
+from pistachiowinch.limits.bucket import (
+    LOAN_COUNTED_S,
+    LOAN_USABLE_S,
+    CustomerBucket,
+    LoanState,
+    RateLimit,
+)
+from pistachiowinch.limits.counters import limit_counters
+from pistachiowinch.limits.messages import BorrowAnswer, BorrowRequest, LoanReport
+from pistachiowinch.links.peers import PeerLink, PeerUnreachable
+
+__all__ = ["Borrowing", "EqualSplit", "RateEscrow", "RateLimit", "RatePolicy"]
+
+# A request without a token waits this long for borrowed or generated ones.
+WAIT_S = 0.05
+# A round does not wait longer for a peer; a later answer is still used.
+ROUND_S = 0.01
+# Pauses between the rounds of one shortage grow, so that a customer over its rate costs at most
+# 50 rounds a second.
+FIRST_GAP_S = 0.002
+LAST_GAP_S = 0.02
+# A round started this long before the end of a wait still brings tokens: twice the largest time
+# for a message and its answer inside a site.
+LAST_ROUND_S = 0.003
+# Keeps rounding errors from making the rounds spin.
+LEAST_PAUSE_S = 0.0005
+# Tokens for this much of the recent demand are borrowed ahead.
+AHEAD_S = 0.025
+# A lender keeps tokens for this much of its own recent demand.
+RESERVE_S = 0.05
+# Time constant of the demand estimate.
+DEMAND_TIME_S = 1.0
+# An unanswered ask is repeated with the same number for this long; it must stay usable after that.
+REPEAT_S = 0.2
+# Reports wait this long, because a borrow request often follows and carries them.
+REPORT_DELAY_S = 0.005
+# Least time between rounds that refill the own part while no request waits.
+REFILL_GAP_S = 0.05
+TICK_S = 0.1
+# Unused loans go back before they expire; longer than one tick, so that none is missed.
+RETURN_BEFORE_S = 0.15
+# A host that did not run for this long may have lost its standing, and its part of each rate.
+PAUSE_S = 1.0
+
+_NO_LOAN = BorrowAnswer(0, 0.0, 0.0)
+_log = part_logger("rates")
+
+
+@dataclass(frozen=True)
+class Borrowing:
+    """Hosts lend tokens to each other."""
+
+
+@dataclass(frozen=True)
+class EqualSplit:
+    """Baseline: each host uses only its own part."""
+
+
+RatePolicy = Borrowing | EqualSplit
+
+
+class _Demand:
+    """Recent requests for each second, with exponential decay."""
+
+    __slots__ = ("_rate_per_s", "_updated_s")
+
+    def __init__(self, now_s: float) -> None:
+        self._rate_per_s = 0.0
+        self._updated_s = now_s
+
+    def add(self, now_s: float) -> None:
+        self._rate_per_s = self.rate_per_s(now_s) + 1.0 / DEMAND_TIME_S
+        self._updated_s = now_s
+
+    def rate_per_s(self, now_s: float) -> float:
+        return self._rate_per_s * math.exp((self._updated_s - now_s) / DEMAND_TIME_S)
+
+
+class _Ask:
+    __slots__ = ("is_answered", "request", "sent_s")
+
+    def __init__(self, request: BorrowRequest, sent_s: float) -> None:
+        self.request = request
+        self.sent_s = sent_s
+        self.is_answered = False
+
+
+class _Answered(NamedTuple):
+    ask: int
+    answer: BorrowAnswer
+    at_s: float
+
+
+class _Fullness(NamedTuple):
+    part: float
+    at_s: float
+
+
+class _Customer:
+    """State of one customer at this host."""
+
+    def __init__(self, name: str, bucket: CustomerBucket, now_s: float) -> None:
+        self.name = name
+        self.bucket = bucket
+        self.demand = _Demand(now_s)
+        self.waiters: deque[asyncio.Future] = deque()
+        self.until_s: deque[float] = deque()
+        self.asks: dict[str, _Ask] = {}
+        self.answered: dict[str, _Answered] = {}
+        self.fullness: dict[str, _Fullness] = {}
+        self.rounds: asyncio.Task | None = None
+        self.last_round_s = -math.inf
+        self.is_report_due = False
+        self.is_removed = False
+
+    def add_waiter(self, waiter: asyncio.Future, until_s: float) -> None:
+        self.waiters.append(waiter)
+        self.until_s.append(until_s)
+
+    def pop_waiter(self) -> asyncio.Future:
+        self.until_s.popleft()
+        return self.waiters.popleft()
+
+    def prune(self) -> None:
+        while self.waiters and self.waiters[0].done():
+            self.pop_waiter()
+
+
+class RateEscrow:
+    """This host's part of all customers' rates.
+
+    :param host: this host's name.
+    :param link: messages to the peers.
+    :param metrics: counters of refusals and tokens.
+    :param policy: :class:`Borrowing`, or the baseline :class:`EqualSplit`.
+    :param read_share: returns the current share, read each 0.1 s by :meth:`run`; None if the
+        caller uses only :meth:`set_share`.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        link: PeerLink,
+        metrics: Metrics | None = None,
+        policy: RatePolicy | None = None,
+        read_share: Callable[[], float] | None = None,
+    ) -> None:
+        """Create an escrow without customers, share or peers."""
+        self._host = host
+        self._link = link
+        self._counters = limit_counters(metrics or Metrics())
+        self._policy = policy or Borrowing()
+        self._read_share = read_share
+        self._share = 0.0
+        self._peers: tuple[str, ...] = ()
+        self._customers: dict[str, _Customer] = {}
+        # A previous run of this host may have lent tokens that are still usable elsewhere.
+        self._quiet_until_s = now_s() + LOAN_COUNTED_S
+        self._last_tick_s: float | None = None
+        self._tasks: set[asyncio.Task] = set()
+        # Numbers of a previous run must not match those of this one.
+        self._next_number = random.SystemRandom().getrandbits(46) | 1 << 46
+        link.on_request(BorrowRequest, BorrowAnswer, self._lend)
+        link.on_message(LoanReport, self._settle)
+
+    def set_limits(self, limits: Mapping[str, RateLimit]) -> None:
+        """Replace the customers and their limits.
+
+        :param limits: by customer; a removed customer's requests are refused.
+        :raises ValueError: if a rate or burst is negative or not finite.
+        """
+        for customer, limit in limits.items():
+            if not all(math.isfinite(value) and value >= 0.0 for value in limit):
+                raise ValueError(f"limits of {customer} must be finite and not negative: {limit}")
+        for customer, state in self._customers.items():
+            if customer not in limits:
+                self._remove(state)
+        for customer, limit in limits.items():
+            self._set_limit(customer, limit)
+
+    def set_share(self, share: float) -> None:
+        """Set the part of each rate and burst that belongs to this host.
+
+        :param share: from 0 (no standing) to 1.
+        :raises ValueError: if it is outside that range.
+        """
+        if not 0.0 <= share <= 1.0:
+            raise ValueError(f"the share must be from 0 to 1, not {share}")
+        if share == self._share:
+            return
+        self._share = share
+        for state in self._customers.values():
+            state.bucket.configure(state.bucket.limit, share, now_s())
+
+    def set_peers(self, peers: Sequence[str]) -> None:
+        """Set the hosts that are asked for tokens.
+
+        :param peers: the site's other hosts, best without suspected ones; this host is ignored.
+        """
+        self._peers = tuple(peer for peer in peers if peer != self._host)
+
+    async def acquire(self, customer: str, deadline_s: float) -> Result[None, Refusal]:
+        """Spend one token of a customer.
+
+        :param customer: the customer's name.
+        :param deadline_s: loop time after which the request is of no use.
+        :returns: nothing, or ``RATE_EXCEEDED``.
+        """
+        state = self._customers.get(customer)
+        if state is None or state.is_removed:
+            return self._refuse("the customer has no rate")
+        arrived_s = now_s()
+        self._check_pause(arrived_s)
+        state.demand.add(arrived_s)
+        state.prune()
+        if not state.waiters and state.bucket.try_take(arrived_s):
+            self._refill(state, arrived_s)
+            return Success(None)
+        if len(state.waiters) >= self._most_waiters(state):
+            return self._refuse("too many requests already wait for the rate")
+        return await self._wait(state, min(arrived_s + WAIT_S, deadline_s))
+
+    async def return_loans(self) -> None:
+        """Give all borrowed tokens back, for a planned stop."""
+        for state in self._customers.values():
+            self._give_back(state, 0.0)
+            self._report(state)
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def run(self) -> None:
+        """Watch for pauses, read the share and report loans until cancelled."""
+        try:
+            while True:
+                self._tick()
+                await sleep_s(TICK_S)
+        finally:
+            self._last_tick_s = None
+            for task in tuple(self._tasks):
+                task.cancel()
+
+    # Customers
+
+    def _set_limit(self, customer: str, limit: RateLimit) -> None:
+        state = self._customers.get(customer)
+        if state is None:
+            bucket = CustomerBucket(limit, self._share, now_s(), self._quiet_until_s)
+            self._customers[customer] = _Customer(customer, bucket, now_s())
+            return
+        state.is_removed = False
+        if limit != state.bucket.limit:
+            state.bucket.configure(limit, self._share, now_s())
+
+    def _remove(self, state: _Customer) -> None:
+        # The entry stays until its loans have ended: a customer that is added again must not
+        # start with a full part while lent tokens are still in use.
+        state.is_removed = True
+        state.bucket.configure(RateLimit(0.0, 0.0), self._share, now_s())
+        while state.waiters:
+            waiter = state.pop_waiter()
+            if not waiter.done():
+                waiter.set_result(None)
+
+    def _most_waiters(self, state: _Customer) -> int:
+        # More requests than these cannot all get a token in time, wherever the tokens are.
+        limit = state.bucket.limit
+        return math.ceil(limit.burst + limit.rate_per_s * WAIT_S) + 1
+
+    # Waiting requests
+
+    async def _wait(self, state: _Customer, until_s: float) -> Result[None, Refusal]:
+        waiter = asyncio.get_running_loop().create_future()
+        state.add_waiter(waiter, until_s)
+        self._start_rounds(state)
+        granted_s = None
+        try:
+            async with asyncio.timeout_at(until_s):
+                granted_s = await waiter
+        except TimeoutError:
+            if waiter.done() and not waiter.cancelled():
+                granted_s = waiter.result()
+        except asyncio.CancelledError:
+            if waiter.done() and not waiter.cancelled():
+                # Putting the token back after others were generated could exceed the burst.
+                self._counters.tokens("discarded", 1.0)
+            raise
+        if granted_s is None:
+            return self._refuse("no token became available in time")
+        if now_s() - granted_s > WAIT_S:
+            # The host was paused between grant and use; the token's time is over.
+            self._counters.tokens("discarded", 1.0)
+            return self._refuse("the host was paused")
+        return Success(None)
+
+    def _serve(self, state: _Customer) -> bool:
+        """Grant tokens to waiting requests in order; tell whether some still wait."""
+        state.prune()
+        while state.waiters and state.bucket.try_take(now_s()):
+            state.pop_waiter().set_result(now_s())
+            state.prune()
+        return bool(state.waiters)
+
+    def _refuse(self, detail: str) -> Result[None, Refusal]:
+        return Failure(self._counters.refuse(RATE_EXCEEDED, detail))
+
+    # Borrowing
+
+    def _refill(self, state: _Customer, at_s: float) -> None:
+        """Borrow when this host's part is much emptier than those of its peers.
+
+        Otherwise their full buckets would waste what they generate, and a customer that then
+        uses its whole burst would be short. What is generated while a request waits makes up for
+        a small difference.
+        """
+        bucket = state.bucket
+        if at_s - state.last_round_s < REFILL_GAP_S:
+            return
+        missing = self._balanced_level(state, 0.0) - bucket.level
+        if missing > bucket.limit.rate_per_s * WAIT_S / 2:
+            self._start_rounds(state)
+
+    def _balanced_level(self, state: _Customer, need: float) -> float:
+        """Own tokens if all hosts were equally full after ``need`` tokens were spent here.
+
+        A host that fills up while its peers stay empty would waste what it generates.
+        """
+        bucket = state.bucket
+        limit = bucket.limit
+        if limit.burst <= 0.0:
+            return 0.0
+        parts = bucket.total - need
+        for peer in self._peers:
+            known = state.fullness.get(peer)
+            part = 1.0
+            if known is not None:
+                elapsed_s = now_s() - known.at_s
+                part = min(known.part + elapsed_s * limit.rate_per_s / limit.burst, 1.0)
+            parts += part * bucket.capacity
+        return max(parts / (len(self._peers) + 1), 0.0)
+
+    def _start_rounds(self, state: _Customer) -> None:
+        if state.rounds is None:
+            state.rounds = self._spawn(self._run_rounds(state))
+
+    async def _run_rounds(self, state: _Customer) -> None:
+        gap_s = FIRST_GAP_S
+        is_urgent = False
+        try:
+            while True:
+                await self._run_round(state, is_urgent)
+                if not self._serve(state):
+                    break
+                is_urgent = True
+                await sleep_s(self._pause_s(state, gap_s))
+                gap_s = min(2.0 * gap_s, LAST_GAP_S)
+                if not self._serve(state):
+                    break
+            self._keep_ahead(state)
+        finally:
+            state.rounds = None
+
+    def _pause_s(self, state: _Customer, gap_s: float) -> float:
+        """Time until the next round is worth its messages."""
+        bucket = state.bucket
+        missing = 1.0 - bucket.total
+        own_s = missing / bucket.generation_per_s if bucket.generation_per_s > 0.0 else math.inf
+        rate_per_s = bucket.limit.rate_per_s
+        site_s = missing / rate_per_s if rate_per_s > 0.0 else math.inf
+        pause_s = min(max(site_s, gap_s), own_s)
+        # One round before the first waiting request gives up collects the last parts.
+        last_s = state.until_s[0] - LAST_ROUND_S - now_s() if state.until_s else 0.0
+        if 0.0 < last_s < pause_s:
+            pause_s = last_s
+        return min(max(pause_s, LEAST_PAUSE_S), LAST_GAP_S)
+
+    async def _run_round(self, state: _Customer, is_urgent: bool) -> None:
+        match self._policy:
+            case EqualSplit():
+                return
+            case Borrowing():
+                pass
+        state.last_round_s = now_s()
+        wanted = self._wanted(state)
+        if wanted <= 0.0 or not self._peers:
+            return
+        part = wanted if is_urgent else wanted / len(self._peers)
+        asks = [self._spawn(self._ask(state, peer, part, is_urgent)) for peer in self._peers]
+        await asyncio.wait(asks, timeout=ROUND_S)
+
+    def _wanted(self, state: _Customer) -> float:
+        bucket = state.bucket
+        bucket.advance(now_s())
+        need = len(state.waiters) + self._ahead(state)
+        return need + self._balanced_level(state, need) - bucket.total
+
+    def _ahead(self, state: _Customer) -> float:
+        demand_per_s = min(state.demand.rate_per_s(now_s()), state.bucket.limit.rate_per_s)
+        excess_per_s = demand_per_s - state.bucket.generation_per_s
+        ahead = excess_per_s * AHEAD_S
+        # Less than a token cannot be spent and would only be kept from the lenders.
+        return ahead if ahead >= 1.0 else 0.0
+
+    def _keep_ahead(self, state: _Customer) -> None:
+        ahead = self._ahead(state)
+        state.bucket.absorb(self._balanced_level(state, ahead), now_s())
+        self._give_back(state, ahead)
+
+    def _give_back(self, state: _Customer, keep: float) -> None:
+        self._counters.tokens("returned", state.bucket.give_back(keep, now_s()))
+        self._schedule_report(state)
+
+    async def _ask(self, state: _Customer, peer: str, wanted: float, is_urgent: bool) -> None:
+        ask = state.asks.get(peer)
+        if ask is None or ask.is_answered or now_s() - ask.sent_s > REPEAT_S:
+            settled = state.bucket.take_reports(peer)
+            request = BorrowRequest(state.name, self._number(), wanted, is_urgent, settled)
+            ask = _Ask(request, now_s())
+            state.asks[peer] = ask
+        remaining_s = ask.sent_s + LOAN_USABLE_S - now_s()
+        try:
+            answer = await self._link.request(peer, ask.request, remaining_s)
+        except PeerUnreachable:
+            return
+        if not ask.is_answered:
+            ask.is_answered = True
+            self._accept(state, peer, ask, answer)
+
+    def _accept(self, state: _Customer, peer: str, ask: _Ask, answer: BorrowAnswer) -> None:
+        state.fullness[peer] = _Fullness(answer.fullness, now_s())
+        if answer.amount > 0.0:
+            expires_s = ask.sent_s + LOAN_USABLE_S
+            state.bucket.borrow(peer, answer.loan, answer.amount, expires_s, now_s())
+            self._counters.tokens("borrowed", answer.amount)
+        self._serve(state)
+        if state.rounds is None:
+            self._keep_ahead(state)
+        self._schedule_report(state)
+
+    # Lending
+
+    async def _lend(self, borrower: str, request: BorrowRequest) -> BorrowAnswer:
+        state = self._customers.get(request.customer)
+        if state is None:
+            return _NO_LOAN
+        self._check_pause(now_s())
+        self._apply(state, request.settled)
+        previous = state.answered.get(borrower)
+        if previous is not None and now_s() - previous.at_s < LOAN_COUNTED_S:
+            # A repeated ask gets the same loan; an overtaken one must not debit a second time.
+            if request.ask == previous.ask:
+                return previous.answer
+            if request.ask < previous.ask:
+                return _NO_LOAN
+        answer = self._loan(state, borrower, request)
+        state.answered[borrower] = _Answered(request.ask, answer, now_s())
+        return answer
+
+    def _loan(self, state: _Customer, borrower: str, request: BorrowRequest) -> BorrowAnswer:
+        bucket = state.bucket
+        bucket.advance(now_s())
+        amount = self._spare(state, borrower, request.is_urgent)
+        if not math.isfinite(request.wanted):
+            return _NO_LOAN
+        loan = self._number()
+        lent = bucket.lend(loan, min(amount, request.wanted), now_s())
+        self._counters.tokens("lent", lent)
+        return BorrowAnswer(loan if lent > 0.0 else 0, lent, bucket.fullness)
+
+    def _spare(self, state: _Customer, borrower: str, is_urgent: bool) -> float:
+        bucket = state.bucket
+        state.prune()
+        if state.waiters:
+            if not self._must_yield(state, borrower):
+                return 0.0
+            self._give_back(state, 0.0)
+            return bucket.level
+        if is_urgent:
+            self._give_back(state, 0.0)
+            return bucket.level
+        reserve = state.demand.rate_per_s(now_s()) * RESERVE_S
+        return max(bucket.level - reserve, 0.0)
+
+    def _must_yield(self, state: _Customer, borrower: str) -> bool:
+        # With a burst of one token, two hosts that each collected half would both refuse. The
+        # same host of the two wins at both ends. Hosts that generate enough need not yield.
+        bucket = state.bucket
+        if bucket.total + bucket.generation_per_s * WAIT_S >= 1.0:
+            return False
+        return rendezvous_order(state.name, (self._host, borrower))[0] == borrower
+
+    def _settle(self, borrower: str, report: LoanReport) -> None:
+        state = self._customers.get(report.customer)
+        if state is not None:
+            self._apply(state, report.settled)
+            self._serve(state)
+
+    def _apply(self, state: _Customer, settled: Sequence[LoanState]) -> None:
+        for loan_state in settled:
+            if math.isfinite(loan_state.remaining) and math.isfinite(loan_state.returned):
+                state.bucket.settle(loan_state, now_s())
+
+    # Reports, ticks and tasks
+
+    def _schedule_report(self, state: _Customer) -> None:
+        if state.is_report_due or not state.bucket.lenders_to_tell():
+            return
+        state.is_report_due = True
+        asyncio.get_running_loop().call_later(REPORT_DELAY_S, self._report, state)
+
+    def _report(self, state: _Customer) -> None:
+        state.is_report_due = False
+        for lender in state.bucket.lenders_to_tell():
+            report = LoanReport(state.name, state.bucket.take_reports(lender))
+            self._spawn(self._link.send(lender, report))
+
+    def _check_pause(self, at_s: float) -> None:
+        if self._last_tick_s is None or at_s - self._last_tick_s <= PAUSE_S:
+            return
+        # Peers may have taken over this host's part of each rate in the meantime.
+        self._last_tick_s = at_s
+        _log.warning("This host did not run for more than {} s; its tokens are dropped.", PAUSE_S)
+        if self._read_share is not None:
+            self.set_share(0.0)
+        for state in self._customers.values():
+            self._counters.tokens("paused", state.bucket.total)
+            state.bucket.void(at_s, at_s)
+
+    def _tick(self) -> None:
+        at_s = now_s()
+        self._check_pause(at_s)
+        self._last_tick_s = at_s
+        if self._read_share is not None:
+            self.set_share(self._read_share())
+        for state in tuple(self._customers.values()):
+            self._tidy(state, at_s)
+
+    def _tidy(self, state: _Customer, at_s: float) -> None:
+        bucket = state.bucket
+        if not bucket.is_idle:
+            bucket.advance(at_s)
+            state.prune()
+            if not state.waiters and state.rounds is None:
+                self._keep_ahead(state)
+                returned = bucket.give_back_expiring(at_s + RETURN_BEFORE_S, at_s)
+                self._counters.tokens("returned", returned)
+            self._schedule_report(state)
+        if bucket.expired > 0.0:
+            self._counters.tokens("expired", bucket.expired)
+            bucket.expired = 0.0
+        if state.is_removed and bucket.is_idle and state.rounds is None:
+            del self._customers[state.name]
+
+    def _number(self) -> int:
+        self._next_number += 1
+        return self._next_number
+
+    def _spawn(self, work: Coroutine) -> asyncio.Task:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
