--- /dev/null
+++ b/libs/groups/src/pistachiowinch/groups/detection.py
@@ -0,0 +1,120 @@
+"""Agreement of several hosts that a target has failed."""
+
+from typing import NamedTuple
+
+from reactivex.abc import DisposableBase
+
+from pistachiowinch.base.clock import now_s
+from pistachiowinch.base.hashing import rendezvous_order
+from pistachiowinch.groups.site import SiteView
+from pistachiowinch.groups.tracker import GroupTracker
+from pistachiowinch.peering.interfaces import MembershipView
+from pistachiowinch.peering.messages import ReceivedHeartbeat
+
+__all__ = ["CONTACT_S", "FailureVotes", "Vote", "suspicion_name"]
+
+# Five heartbeat intervals, the time after which a member counts as not heard from.
+CONTACT_S = 1.0
+
+
+class Vote(NamedTuple):
+    """Opinions on one target.
+
+    :param counting: roster hosts in contact with a majority of the roster, in rendezvous order.
+    :param suspecting: those of them that suspect the target.
+    :param is_own_contact: whether this host is among the counting ones.
+    :param is_quorate: whether the counting hosts are a majority of the roster.
+    """
+
+    counting: tuple[str, ...]
+    suspecting: frozenset[str]
+    is_own_contact: bool
+    is_quorate: bool
+
+    @property
+    def is_failed(self) -> bool:
+        """Whether a majority of the counting hosts suspects the target."""
+        return self.is_quorate and 2 * len(self.suspecting) > len(self.counting)
+
+
+def suspicion_name(service: str, target: str) -> str:
+    """Return the name of a target in heartbeats."""
+    return f"{service}/{target}"
+
+
+class FailureVotes:
+    """Collects the suspicions that peers announce for one service.
+
+    :param tracker: this host's own probes.
+    :param membership: heartbeats of the peers.
+    :param site: this host and the roster.
+    """
+
+    def __init__(self, tracker: GroupTracker, membership: MembershipView, site: SiteView) -> None:
+        """Start to listen to heartbeats."""
+        self._tracker = tracker
+        self._membership = membership
+        self._site = site
+        self._subscription: DisposableBase = membership.heartbeats.subscribe(self._receive)
+
+    def close(self) -> None:
+        """Stop listening."""
+        self._subscription.dispose()
+
+    def _receive(self, received: ReceivedHeartbeat) -> None:
+        announced = received.heartbeat.primaries.get(self._tracker.service)
+        if announced is not None:
+            self._tracker.learn_primary(announced.term, announced.primary)
+
+    @property
+    def own_suspicions(self) -> tuple[str, ...]:
+        """Names for ``LocalState.suspected_targets``."""
+        service = self._tracker.service
+        return tuple(suspicion_name(service, target) for target in self._tracker.suspected)
+
+    def _fresh_heartbeat(self, host: str) -> ReceivedHeartbeat | None:
+        received = self._membership.last_heartbeat(host)
+        if received is None or now_s() - received.received_s > CONTACT_S:
+            return None
+        return received
+
+    def vote(self, target: str) -> Vote:
+        """Count the opinions on a target.
+
+        Only hosts in contact with a majority of the roster count, so that a host with a broken
+        network neither starts nor prevents a promotion.
+
+        :param target: its name.
+        """
+        members = set(self._site.members)
+        needed = len(members) // 2 + 1
+        own = self._site.host
+        name = suspicion_name(self._tracker.service, target)
+        counting: list[str] = []
+        suspecting: set[str] = set()
+        own_contacts = members & (self._membership.contacts(CONTACT_S) | {own})
+        if own in members and len(own_contacts) >= needed:
+            counting.append(own)
+            if self._tracker.is_suspected(target):
+                suspecting.add(own)
+        for host in sorted(members - {own}):
+            received = self._fresh_heartbeat(host)
+            if received is None:
+                continue
+            if len(members & (set(received.heartbeat.heard) | {host})) < needed:
+                continue
+            counting.append(host)
+            if name in received.heartbeat.suspected_targets:
+                suspecting.add(host)
+        order = rendezvous_order(self._tracker.service, counting)
+        return Vote(tuple(order), frozenset(suspecting), own in counting, len(counting) >= needed)
+
+    def is_outvoted(self, target: str) -> bool:
+        """Whether this host suspects a target that the majority reaches.
+
+        :param target: its name.
+        """
+        if not self._tracker.is_suspected(target):
+            return False
+        vote = self.vote(target)
+        return vote.is_quorate and not vote.is_failed
