--- a/libs/groups/src/pistachiowinch/groups/detection.py
+++ b/libs/groups/src/pistachiowinch/groups/detection.py
@@ -55,6 +55,8 @@
         self._tracker = tracker
         self._membership = membership
         self._site = site
+        self._prefix = suspicion_name(tracker.service, "")
+        self._named_s: dict[str, float] = {}
         self._subscription: DisposableBase = membership.heartbeats.subscribe(self._receive)
 
     def close(self) -> None:
@@ -65,6 +67,14 @@
         announced = received.heartbeat.primaries.get(self._tracker.service)
         if announced is not None:
             self._tracker.learn_primary(announced.term, announced.primary)
+        for name in received.heartbeat.suspected_targets:
+            if name.startswith(self._prefix):
+                self._named_s[name.removeprefix(self._prefix)] = now_s()
+
+    def is_suspected_by_any(self, target: str) -> bool:
+        """Whether this host or a recent heartbeat suspects a target; cheaper than a vote."""
+        named_s = self._named_s.get(target, float("-inf"))
+        return self._tracker.is_suspected(target) or now_s() - named_s <= CONTACT_S
 
     @property
     def own_suspicions(self) -> tuple[str, ...]:
--- a/libs/groups/src/pistachiowinch/groups/tracker.py
+++ b/libs/groups/src/pistachiowinch/groups/tracker.py
@@ -33,8 +33,9 @@
 _SHARING_S = 0.001
 # A target that does not answer gets fewer requests, as each one stays open until its timeout.
 _UNANSWERED_GAP_S = 0.1
-# Probes after lost connections come in bursts; failures closer than this count once.
-_FAILURE_SPACING_S = 0.1
+# Probes after lost connections come in bursts. Failures count only once in about a probe interval,
+# so that a target that is gone for a moment is not replaced.
+_FAILURE_SPACING_S = 0.18
 
 _log = part_logger("tracker")
 
--- a/libs/groups/src/pistachiowinch/groups/watch.py
+++ b/libs/groups/src/pistachiowinch/groups/watch.py
@@ -91,6 +91,10 @@
     async def _step(self) -> None:
         if self._site.incarnation == NO_INCARNATION or self._promoter.is_running:
             return
+        if not self._is_attention_needed():
+            self._reason = None
+            self._reset_since_s.clear()
+            return
         vote = self._votes.vote(self._tracker.primary or "")
         if not (vote.is_own_contact and vote.is_quorate):
             self._reason = None
@@ -106,6 +110,27 @@
         else:
             self._backoff_s = _FIRST_BACKOFF_S
 
+    def _is_attention_needed(self) -> bool:
+        """Whether anything may be wrong; keeps a healthy service cheap."""
+        tracker = self._tracker
+        primary = tracker.primary
+        return (
+            primary is None
+            or self._votes.is_suspected_by_any(primary)
+            or self._stray_promise()
+            or any(self._promoter.needs_reset(target) for target in tracker.targets)
+        )
+
+    def _stray_promise(self) -> bool:
+        """Whether a reachable target has promised a term that never got a primary."""
+        tracker = self._tracker
+        for target in tracker.targets:
+            status = tracker.status(target)
+            is_above = status is not None and status.promised_term > tracker.term
+            if is_above and tracker.is_reachable(target):
+                return True
+        return False
+
     def _find_reason(self, vote: Vote) -> _Reason | None:
         tracker = self._tracker
         reachable = [target for target in tracker.targets if tracker.is_reachable(target)]
@@ -117,10 +142,8 @@
             return _Reason("no primary", known_term, _STALLED_S)
         if vote.is_failed:
             return _Reason("primary suspected", known_term, 0.0)
-        for target in reachable:
-            status = tracker.status(target)
-            if status is not None and status.promised_term > tracker.term:
-                return _Reason("stray promise", known_term, _STRAY_PROMISE_S)
+        if self._stray_promise():
+            return _Reason("stray promise", known_term, _STRAY_PROMISE_S)
         return None
 
     def _is_due(self, reason: _Reason | None, rank: int) -> bool:
--- a/libs/standins/src/pistachiowinch/standins/database_group.py
+++ b/libs/standins/src/pistachiowinch/standins/database_group.py
@@ -21,7 +21,7 @@
 from pistachiowinch.standins.database_network import FakeNetwork
 from pistachiowinch.standins.database_sessions import TargetSession
 
-__all__ = ["FakeDatabaseGroup", "FakeTarget", "GroupTimes", "LogEntry"]
+__all__ = ["FakeDatabaseGroup", "FakeTarget", "GroupTimes", "LogEntry", "OrderRecord"]
 
 INITIAL_TERM = 1
 
@@ -49,6 +49,18 @@
     dead_peer_s: float = 2.0
 
 
+class OrderRecord(NamedTuple):
+    """An order that took effect at a target; status requests and connects are not recorded.
+
+    :param kind: ``fence``, ``promote`` or ``follow``.
+    """
+
+    time_s: float
+    host: str
+    target: str
+    kind: str
+
+
 class LogEntry(NamedTuple):
     """One committed transaction."""
 
@@ -389,7 +401,7 @@
             if not found.is_up:
                 return
             result = action(found)
-            self._group.commands.append((now_s(), self._host, target, kind))
+            self._group.note_order(OrderRecord(now_s(), self._host, target, kind))
         await sleep_s(network.delay_s(self._host, target))
         if kind in found.lost_replies:
             found.lost_replies.remove(kind)
@@ -427,7 +439,8 @@
         self.connections = connections
         self.network = FakeNetwork(delay_s)
         self.network.on_change(self.wake_replicas)
-        self.commands: list[tuple[float, str, str, str]] = []
+        self.commands: list[OrderRecord] = []
+        self.on_order: Callable[[OrderRecord], None] | None = None
         self._tasks: set[asyncio.Task[Any]] = set()
         self._connection_numbers = 0
         self.targets: dict[str, FakeTarget] = {}
@@ -480,6 +493,13 @@
         for target in self.targets.values():
             target.data.close()
 
+    def note_order(self, record: OrderRecord) -> None:
+        """Record an order that took effect, for tests that place a fault right after it."""
+        if record.kind in ("fence", "promote", "follow"):
+            self.commands.append(record)
+            if self.on_order is not None:
+                self.on_order(record)
+
     def wake_replicas(self) -> None:
         """Let replicas look for entries after any change."""
         for target in self.targets.values():
