--- a/libs/measure/src/pistachiowinch/measure/failover.py
+++ b/libs/measure/src/pistachiowinch/measure/failover.py
@@ -209,6 +209,10 @@
         self.store.faults.delay_s = _STORE_DELAY_S
         self.peers = PeerNetwork(seed, _DELAY_S)
         self.group = FakeDatabaseGroup(SERVICE, TARGETS, SCHEMA, times, _DELAY_S)
+        # Terms that a majority of the targets followed, with the time from which on it did.
+        self.completed_terms: list[tuple[int, float]] = []
+        self.group.on_order = self._note_order
+        self.strike: Callable[[OrderRecord], None] | None = None
         self.hosts = {
             name: GroupHost(self, name, number) for number, name in enumerate(self.members, 1)
         }
@@ -220,6 +224,16 @@
             host.start()
         await sleep_s(settle_s)
 
+    def _note_order(self, record: OrderRecord) -> None:
+        statuses = self.group.statuses().values()
+        current = [s.stream_term for s in statuses if s.stream_term == s.promised_term]
+        known = self.completed_terms[-1][0] if self.completed_terms else 0
+        for term in set(current):
+            if term > known and current.count(term) > len(self.group.targets) // 2:
+                self.completed_terms.append((term, record.time_s))
+        if self.strike is not None:
+            self.strike(record)
+
     def primary(self) -> str:
         """Target that is primary in the highest term, seen from outside."""
         statuses = self.group.statuses().values()
@@ -446,7 +460,7 @@
     elif scenario == "store_slow":
         site.store.faults.delay_s = 30.0
     elif scenario == "second_fault":
-        site.group.on_order = _second_fault(site, chance)
+        site.strike = _second_fault(site, chance)
     first = site.primary()
     site.group.crash(first, is_silent=chance.random() < 0.5)
     await sleep_s(until_s - now_s())
--- /dev/null
+++ b/tests/groups/checks.py
@@ -0,0 +1,68 @@
+"""Checks of a site from the outside: what callers were told against the final data."""
+
+from collections import Counter
+from collections.abc import Iterable
+
+from pistachiowinch.base.clock import now_s, sleep_s
+from pistachiowinch.groups.confirmation import RECONFIRM_AFTER_S
+from pistachiowinch.measure.failover import GroupSite, WriteResult
+
+__all__ = ["assert_history", "primary_is_settled", "settle"]
+
+
+def primary_is_settled(site: GroupSite) -> bool:
+    """Whether all live hosts know the same primary and all targets follow it."""
+    primary = site.primary()
+    term = site.group.targets[primary].stream_term
+    hosts = [host for host in site.hosts.values() if host.is_alive]
+    targets = site.group.statuses().values()
+    return all(
+        (host.group.tracker.primary, host.group.tracker.term) == (primary, term) for host in hosts
+    ) and all(status.stream_term == status.promised_term == term for status in targets)
+
+
+async def settle(site: GroupSite, limit_s: float = 30.0) -> None:
+    """Wait until the service has recovered after all faults were ended."""
+    deadline_s = now_s() + limit_s
+    while not primary_is_settled(site):
+        assert now_s() < deadline_s, ("no recovery", site.group.statuses())
+        await sleep_s(0.1)
+    await sleep_s(0.5)
+
+
+def assert_history(site: GroupSite, results: Iterable[WriteResult]) -> Counter[str]:
+    """Compare the answers with the data of the final primary.
+
+    :returns: number of results for each outcome.
+    """
+    rows = site.group.rows(site.primary(), "SELECT request FROM hire")
+    applied = Counter(row[0] for row in rows)
+    doubled = [request for request, count in applied.items() if count > 1]
+    assert not doubled, f"applied more than once: {doubled}"
+    results = list(results)
+    told = {}
+    for result in results:
+        told.setdefault(result.request_id, []).append(result)
+    for request, answers in told.items():
+        outcomes = {answer.outcome for answer in answers}
+        if "acknowledged" in outcomes:
+            assert applied[request] == 1, f"acknowledged write {request} is lost"
+        if outcomes == {"not_run"}:
+            assert applied[request] == 0, f"{request} was refused as not run but ran"
+    assert_no_late_acknowledgement(site, results)
+    return Counter(result.outcome for result in results)
+
+
+def assert_no_late_acknowledgement(site: GroupSite, results: Iterable[WriteResult]) -> None:
+    """Check P2: a replaced primary acknowledges nothing.
+
+    The replacement is complete when a majority follows the newer term. A confirmation read from
+    a majority before that may be passed on for the time that it stays fresh.
+    """
+    for result in results:
+        if result.outcome != "acknowledged":
+            continue
+        for term, completed_s in site.completed_terms:
+            if term > result.term:
+                late_s = result.answered_s - completed_s
+                assert late_s <= RECONFIRM_AFTER_S, f"{result} came {late_s} s after {term:#x}"
--- /dev/null
+++ b/tests/groups/test_ledger.py
@@ -0,0 +1,259 @@
+"""Guards against wrong outcomes of interrupted writes: lost, doubled, or untrue "not run"."""
+
+import asyncio
+
+import pytest
+
+from pistachiowinch.base.clock import now_s, sleep_s
+from pistachiowinch.groups.confirmation import WriteConfirmer
+from pistachiowinch.groups.ledger import (
+    Ledger,
+    LedgerEntry,
+    NotRan,
+    RanBefore,
+    Undecided,
+    statement_digest,
+)
+from pistachiowinch.groups.tracker import GroupTracker
+from pistachiowinch.links.targets import Answer, Answered, Failed, Lost
+from pistachiowinch.standins.database_group import FakeDatabaseGroup
+
+pytestmark = pytest.mark.looptime
+TARGETS = ("a", "b", "c")
+SCHEMA = ("CREATE TABLE hire (id INT NOT NULL AUTO_INCREMENT PRIMARY KEY, request VARCHAR(64))",)
+TEXT = "INSERT INTO hire (request) VALUES ('r1')"
+ENTRY = LedgerEntry("tool-hire", "r1", statement_digest(TEXT))
+
+
+class Rig:
+    """One host's ledger over a group, with the table in place."""
+
+    def __init__(self):
+        self.group = FakeDatabaseGroup("s", TARGETS, SCHEMA)
+        self.view = self.group.view("h1")
+        self.tracker = GroupTracker("s", TARGETS, self.view)
+        confirmer = WriteConfirmer(self.tracker)
+        self.ledger = Ledger(self.tracker, confirmer, self.view)
+        self.task = None
+
+    async def start(self):
+        # Not in the fixture, whose time is not the paused clock's.
+        self.task = asyncio.create_task(self.tracker.run())
+        await sleep_s(0.1)
+        assert await self.ledger.ensure_table()
+        await sleep_s(0.1)
+
+    async def begin(self, target="a", entry=ENTRY):
+        """Run the write up to its COMMIT."""
+        connection = await self.view.connect(target)
+        await connection.execute("BEGIN")
+        outcome = await connection.execute(TEXT)
+        text = self.ledger.insert_text(entry, outcome.answer)
+        return connection, await connection.execute(text)
+
+    async def decide(self, term=1, target="a", entry=ENTRY, limit_s=3.0):
+        return await self.ledger.decide(entry, target, term, now_s() + limit_s)
+
+    async def promote(self, target, term, others, is_following=True):
+        view = self.group.view("h2")
+        for name in (target, *others):
+            await view.fence(name, term)
+        await view.promote(target, term)
+        for name in others if is_following else ():
+            await view.follow(name, term, target)
+
+    def applied(self, target):
+        return len(self.group.rows(target, "SELECT id FROM hire"))
+
+
+@pytest.fixture
+async def rig():
+    built = Rig()
+    yield built
+    if built.task is not None:
+        built.task.cancel()
+    await built.group.close()
+
+
+async def test_lost_answer_with_the_primary_staying_returns_the_stored_answer(rig):
+    await rig.start()
+    connection, _ = await rig.begin()
+    rig.group.lose_answer("a")
+    assert isinstance(await connection.execute("COMMIT"), Lost)
+    found = await rig.decide()
+    assert isinstance(found, RanBefore) and found.is_same_request
+    assert (found.answer.affected_rows, found.answer.last_insert_id) == (1, 1)
+    assert found.position >= rig.group.statuses()["a"].position
+
+
+async def test_lost_answer_with_the_primary_replaced_finds_the_replicated_write(rig):
+    await rig.start()
+    connection, _ = await rig.begin()
+    rig.group.lose_answer("a")
+    await connection.execute("COMMIT")
+    await sleep_s(0.01)
+    rig.group.crash("a", is_silent=True)
+    await rig.promote("b", 50, ["c"])
+    found = await rig.decide()
+    assert isinstance(found, RanBefore) and found.term == 50
+
+
+async def test_write_that_the_new_primary_lacks_never_runs(rig):
+    await rig.start()
+    connection, _ = await rig.begin()
+    rig.group.cut("a", ["b", "c"])
+    await connection.execute("COMMIT")
+    assert rig.applied("a") == 1
+    await rig.promote("b", 50, ["c"])
+    assert await rig.decide() == NotRan(is_cancelled=False)
+    rig.group.network.heal_all()
+    await rig.group.view("h2").follow("a", 50, "b")
+    await sleep_s(0.1)
+    assert rig.applied("a") == rig.applied("b") == 0
+
+
+async def test_absent_row_counts_only_when_a_majority_holds_the_newer_term(rig):
+    """Only the new primary holds its term; the old target could still be chosen afterwards."""
+    await rig.start()
+    connection, _ = await rig.begin()
+    rig.group.cut("a", ["b", "c"])
+    await connection.execute("COMMIT")
+    await rig.promote("b", 50, ["c"], is_following=False)
+    assert isinstance(await rig.decide(limit_s=1.0), Undecided)
+    rig.group.crash("b", is_silent=True)
+    rig.group.network.heal_all()
+    view = rig.group.view("h2")
+    fenced = {target: (await view.fence(target, 60)).status for target in ("a", "c")}
+    assert fenced["a"].position > fenced["c"].position
+    await view.promote("a", 60)
+    await view.follow("c", 60, "a")
+    found = await rig.decide()
+    assert isinstance(found, RanBefore) and found.term == 60
+
+
+async def test_cancel_row_keeps_a_late_commit_from_running(rig):
+    """The COMMIT waits at the target while the outcome is decided."""
+    await rig.start()
+    connection = await rig.view.connect("a")
+    await connection.execute("BEGIN")
+    await connection.execute(TEXT)
+    assert await rig.decide() == NotRan(is_cancelled=True)
+    outcome = await connection.execute(rig.ledger.insert_text(ENTRY, Answer()))
+    assert isinstance(outcome, Failed) and outcome.errno == 1062
+    await connection.execute("ROLLBACK")
+    assert rig.applied("a") == 0
+
+
+async def test_cancel_row_waits_for_a_commit_under_way_and_then_collides(rig):
+    await rig.start()
+    connection, _ = await rig.begin()
+    deciding = asyncio.create_task(rig.decide())
+    await sleep_s(0.1)
+    assert not deciding.done()
+    await connection.execute("COMMIT")
+    assert isinstance(await deciding, RanBefore)
+
+
+async def test_cancel_row_after_the_writer_vanished_frees_nothing_and_reports_not_run(rig):
+    await rig.start()
+    connection, _ = await rig.begin()
+    await connection.close()
+    assert await rig.decide() == NotRan(is_cancelled=True)
+    assert rig.applied("a") == 0
+
+
+async def test_promotion_in_place_does_not_make_a_commit_under_way_look_impossible(rig):
+    """The same target was promoted again and the write started in the newer term unnoticed."""
+    await rig.start()
+    await rig.promote("a", 50, ["b", "c"])
+    connection, _ = await rig.begin()
+    rig.group.slow_down("a", 1000.0)
+    committing = asyncio.create_task(connection.execute("COMMIT"))
+    await sleep_s(0.05)
+    rig.group.slow_down("a", 1.0)
+    found = await rig.decide(term=1)
+    await committing
+    assert isinstance(found, RanBefore) == (rig.applied("a") == 1)
+    assert isinstance(found, RanBefore)
+
+
+async def test_two_hosts_that_decide_at_once_agree(rig):
+    await rig.start()
+    connection, _ = await rig.begin()
+    other = Ledger(rig.tracker, rig.ledger._confirmer, rig.group.view("h2"))
+    both = asyncio.gather(rig.decide(), other.decide(ENTRY, "a", 1, now_s() + 3.0))
+    await sleep_s(0.02)
+    await connection.close()
+    assert await both == [NotRan(is_cancelled=True)] * 2
+
+
+async def test_row_of_other_statements_is_reported_as_such(rig):
+    await rig.start()
+    connection, _ = await rig.begin()
+    assert isinstance(await connection.execute("COMMIT"), Answered)
+    found = await rig.decide(entry=ENTRY._replace(digest=statement_digest("DELETE FROM hire")))
+    assert isinstance(found, RanBefore) and not found.is_same_request
+
+
+async def test_no_reachable_primary_leaves_the_outcome_undecided(rig):
+    await rig.start()
+    rig.group.crash("a", is_silent=True)
+    started_s = now_s()
+    assert isinstance(await rig.decide(limit_s=1.5), Undecided)
+    assert now_s() - started_s <= 1.6
+
+
+async def test_host_paused_during_the_look_up_gives_no_outdated_outcome(rig):
+    await rig.start()
+    connection, _ = await rig.begin()
+    rig.group.cut("a", ["b", "c"])
+    await connection.execute("COMMIT")
+    deciding = asyncio.create_task(rig.decide(limit_s=10.0))
+    await sleep_s(0.013)
+    rig.group.network.pause_host("h1")
+    await rig.promote("b", 50, ["c"])
+    await sleep_s(2.0)
+    rig.group.network.resume_host("h1")
+    assert await deciding == NotRan(is_cancelled=False)
+    assert rig.applied("b") == 0
+
+
+@pytest.mark.parametrize(
+    "name",
+    ["plain", "it's", 'dou"ble', "back\\slash", "\x00\n%_", "Zürich ü", "'; DROP TABLE hire; --"],
+)
+async def test_any_name_and_request_id_is_quoted_safely(rig, name):
+    await rig.start()
+    entry = LedgerEntry(name, name, statement_digest(name))
+    _, outcome = await rig.begin(entry=entry)
+    assert isinstance(outcome, Answered)
+    connection = await rig.view.connect("a")
+    await connection.execute(rig.ledger.insert_text(entry._replace(request_id="x"), Answer()))
+    text = rig.ledger.lookup_text(entry._replace(request_id="x"))
+    row = rig.ledger.parse_row((await connection.execute(text)).answer)
+    assert row.digest == entry.digest and not row.is_cancelled
+
+
+def test_digest_separates_statements():
+    assert statement_digest("ab", "c") != statement_digest("a", "bc")
+    assert statement_digest("ab") == statement_digest("ab")
+
+
+async def test_clean_up_removes_only_rows_older_than_a_day(rig):
+    await rig.start()
+    connection = await rig.view.connect("a")
+    for number in range(3):
+        entry = ENTRY._replace(request_id=f"old-{number}")
+        await connection.execute(rig.ledger.insert_text(entry, Answer()))
+    rig.task.cancel()
+    await sleep_s(24 * 3600 - 60)
+    await connection.execute(rig.ledger.insert_text(ENTRY, Answer()))
+    assert await rig.ledger.clean_up() == 0
+    await sleep_s(120)
+    assert await rig.ledger.clean_up() == 3
+    assert rig.group.rows("a", "SELECT COUNT(*) FROM pistachiowinch_ledger") == [(1,)]
+
+
+async def test_missing_table_is_created_by_the_look_up(rig):
+    await rig.tracker.refresh(TARGETS)
+    assert await rig.decide() == NotRan(is_cancelled=True)
