--- /dev/null
+++ b/libs/proxy/src/pistachiowinch/proxy/connection.py
@@ -0,0 +1,496 @@
+"""One caller's connection: login, commands and the end of the session."""
+
+import asyncio
+import struct
+
+from mysql_mimic import packets
+from mysql_mimic.connection import DEFAULT_SERVER_CAPABILITIES, Connection
+from mysql_mimic.control import Control
+from mysql_mimic.session import BaseSession
+from mysql_mimic.types import Capabilities, ServerStatus
+from mysql_mimic.variables import GlobalVariables, SessionVariables
+from returns.result import Failure, Success
+
+from pistachiowinch.base.codes import (
+    BAD_KEY,
+    BAD_SESSION_SETTING,
+    INTERNAL,
+    MALFORMED_PACKET,
+    STATEMENT_NOT_SUPPORTED,
+    STATEMENT_TOO_LARGE,
+    Refusal,
+)
+from pistachiowinch.base.logs import part_logger
+from pistachiowinch.links.targets import Answer, Failed
+from pistachiowinch.proxy.interfaces import Gateway
+from pistachiowinch.proxy.login import NATIVE_PLUGIN, make_nonce, verify_password
+from pistachiowinch.proxy.prepared import PreparedStatement, bind, prepare_packets
+from pistachiowinch.proxy.runner import Outcome, StatementRunner
+from pistachiowinch.proxy.stream import (
+    MAX_STATEMENT_BYTES,
+    ConnectionClosed,
+    PacketMalformed,
+    PacketStream,
+    PacketTooLarge,
+    ReadInterrupted,
+)
+from pistachiowinch.proxy.wire import answer_packets, end_packet, error_packet, ok_packet
+
+__all__ = ["CAPABILITIES", "LOGIN_LIMIT_S", "CallerConnection", "CallerSession"]
+
+LOGIN_LIMIT_S = 5.0
+END_NOTICE_LIMIT_S = 1.0
+MAX_PREPARED_STATEMENTS = 1024
+SERVER_VERSION = "8.0.36-pistachiowinch"
+
+CAPABILITIES = (
+    DEFAULT_SERVER_CAPABILITIES | Capabilities.CLIENT_LONG_FLAG | Capabilities.CLIENT_TRANSACTIONS
+)
+
+_REQUIRED = Capabilities.CLIENT_PROTOCOL_41 | Capabilities.CLIENT_SECURE_CONNECTION
+# Character sets whose statements and answers are UTF-8, or for which the bytes pass unchanged.
+_UTF8_NAMES = frozenset({"utf8", "utf8mb3", "utf8mb4", "ascii", "binary"})
+_PARSE_ERRORS = (ValueError, IndexError, KeyError, struct.error, TypeError, EOFError, LookupError)
+_NO_ATTRIBUTES = b"\x00\x01"
+
+_log = part_logger("callers")
+_GLOBAL_VARIABLES = GlobalVariables()
+_DONE = Answer()
+
+
+class CallerSession(BaseSession):
+    """What ``mysql-mimic`` keeps for a connection. Statements do not pass through it."""
+
+    def __init__(self) -> None:
+        """Start with the defaults of the library."""
+        self.variables = SessionVariables(_GLOBAL_VARIABLES)
+        self.username = None
+        self.database = None
+
+
+class CallerConnection(Connection):
+    """Serves one caller, one command at a time.
+
+    :param stream: the caller's packets.
+    :param control: numbers the connections.
+    :param gateway: runs the statements.
+    :param login_limit_s: time for the whole login.
+    """
+
+    def __init__(
+        self,
+        stream: PacketStream,
+        control: Control,
+        gateway: Gateway,
+        login_limit_s: float = LOGIN_LIMIT_S,
+    ) -> None:
+        """Start before the handshake."""
+        super().__init__(stream, CallerSession(), control, None, CAPABILITIES)
+        self.runner = StatementRunner(gateway)
+        self._gateway = gateway
+        self._login_limit_s = login_limit_s
+        self.connection_id: int | None = None
+        self._nonce = b""
+        self._is_eof_deprecated = True
+        self._has_attributes = False
+        self._statements: dict[int, PreparedStatement] = {}
+        self._next_statement = 1
+        self._ending: Refusal | None = None
+        self._waits_for_transaction = False
+        self._commands = {
+            0x02: self.handle_init_db,
+            0x03: self.handle_query,
+            0x04: self.handle_unsupported,
+            0x09: self.handle_statistics,
+            0x0D: self.handle_ping,
+            0x0E: self.handle_ping,
+            0x11: self.handle_change_user,
+            0x16: self.handle_stmt_prepare,
+            0x17: self.handle_stmt_execute,
+            0x18: self.handle_stmt_send_long_data,
+            0x19: self.handle_stmt_close,
+            0x1A: self.handle_stmt_reset,
+            0x1B: self.handle_set_option,
+            0x1F: self.handle_reset_connection,
+        }
+
+    # Lifecycle
+
+    async def start(self) -> None:
+        """Serve the caller until it leaves or its session ends."""
+        try:
+            if await self._login_in_time():
+                await self.command_phase()
+        except ConnectionClosed:
+            pass
+        except PacketTooLarge as error:
+            await self._refuse_and_close(Refusal(STATEMENT_TOO_LARGE, str(error)))
+        except PacketMalformed as error:
+            await self._refuse_and_close(Refusal(MALFORMED_PACKET, str(error)))
+        except Exception as error:
+            # Keep one caller's defect away from the others.
+            _log.exception("A connection failed: {}.", type(error).__name__)
+            await self._refuse_and_close(Refusal(INTERNAL, "the host failed; see its log"))
+        finally:
+            await self._close()
+
+    async def _close(self) -> None:
+        try:
+            await self.runner.close()
+        finally:
+            self.stream.close()
+            if self.connection_id is not None:
+                await self.control.remove(self.connection_id)
+
+    async def _login_in_time(self) -> bool:
+        try:
+            async with asyncio.timeout(self._login_limit_s):
+                refusal = await self.connection_phase()
+        except TimeoutError:
+            refusal = Refusal(BAD_KEY, f"the login took more than {self._login_limit_s:g} s")
+        except ReadInterrupted:
+            refusal = self._ending
+        if refusal is not None:
+            await self._refuse_and_close(refusal)
+            return False
+        self.stream.limit_bytes = MAX_STATEMENT_BYTES
+        return True
+
+    async def _refuse_and_close(self, refusal: Refusal) -> None:
+        try:
+            self.stream.write_many((error_packet(refusal),))
+            self.stream.finish()
+            await self.stream.wait_closed(END_NOTICE_LIMIT_S)
+        except (ConnectionClosed, OSError):
+            pass
+
+    def end(self, refusal: Refusal, waits_for_transaction: bool = False) -> None:
+        """End the session between two statements.
+
+        :param refusal: what the caller is told.
+        :param waits_for_transaction: whether an open transaction may end first.
+        """
+        if self._ending is None or not waits_for_transaction:
+            self._ending = refusal
+            self._waits_for_transaction = waits_for_transaction
+        self.stream.interrupt()
+
+    def _must_end(self) -> bool:
+        session = self.runner.session
+        if session is not None and session.ended is not None:
+            self._ending = session.ended
+            return True
+        if self._ending is None:
+            return False
+        return not (self._waits_for_transaction and self.runner.is_in_transaction)
+
+    async def command_phase(self) -> None:
+        """Run commands one after the other."""
+        stream = self.stream
+        while True:
+            stream.reset_seq()
+            if self._must_end():
+                # Drivers take the notice for the answer to their next command, whose number is 1.
+                stream.seq = 1
+                await self._refuse_and_close(self._ending)
+                return
+            try:
+                data = await stream.read()
+            except ReadInterrupted:
+                continue
+            if self._must_end():
+                await self._refuse_and_close(self._ending)
+                return
+            if not data:
+                raise PacketMalformed("a command is empty")
+            if data[0] == 0x01:
+                return
+            handler = self._commands.get(data[0], self.handle_unsupported)
+            await handler(data[1:])
+
+    # Login
+
+    async def connection_phase(self) -> Refusal | None:
+        """Greet the caller and check its key.
+
+        :returns: why the login is refused, None if it succeeded.
+        """
+        self.connection_id = await self.control.add(self)
+        self._nonce = make_nonce()
+        greeting = packets.make_handshake_v10(
+            capabilities=CAPABILITIES,
+            server_charset=self.server_charset,
+            server_version=SERVER_VERSION,
+            connection_id=self.connection_id,
+            auth_data=self._nonce + b"\x00",
+            status_flags=ServerStatus.SERVER_STATUS_AUTOCOMMIT,
+            auth_plugin_name=NATIVE_PLUGIN,
+        )
+        await self.stream.write(greeting)
+        response = self._parse_response(await self.stream.read())
+        self.capabilities = CAPABILITIES & response.capabilities
+        self._is_eof_deprecated = bool(self.capabilities & Capabilities.CLIENT_DEPRECATE_EOF)
+        self._has_attributes = bool(self.capabilities & Capabilities.CLIENT_QUERY_ATTRIBUTES)
+        if response.client_charset.name not in _UTF8_NAMES:
+            return Refusal(BAD_SESSION_SETTING, "the character set must be utf8mb4")
+        self.session.username = response.username
+        refusal = await self._log_in(
+            response.username,
+            response.auth_response,
+            response.client_plugin,
+            response.database or "",
+            response.connect_attrs,
+        )
+        if refusal is None:
+            self.stream.write_many((self._ok(_DONE),))
+        return refusal
+
+    def _parse_response(self, data: bytes) -> packets.HandshakeResponse41:
+        try:
+            response = packets.parse_handshake_response(CAPABILITIES, data)
+        except _PARSE_ERRORS as error:
+            raise PacketMalformed("the login packet cannot be read") from error
+        if not isinstance(response, packets.HandshakeResponse41):
+            raise PacketMalformed("TLS is not offered")
+        if response.capabilities & _REQUIRED != _REQUIRED:
+            raise PacketMalformed("the driver is too old")
+        return response
+
+    async def _log_in(
+        self,
+        key_id: str,
+        response: bytes,
+        plugin: str | None,
+        service: str,
+        attributes: dict[str, str],
+    ) -> Refusal | None:
+        if plugin not in (None, "", NATIVE_PLUGIN):
+            response = await self._switch_plugin()
+        credentials = self._gateway.credentials(key_id)
+        is_without_key = credentials is None and not response
+        if not is_without_key and not verify_password(credentials, response, self._nonce):
+            return Refusal(BAD_KEY, "the key id or the key is wrong")
+        checked_id = "" if is_without_key else key_id
+        self.runner.key_id = checked_id
+        if not service:
+            if is_without_key:
+                return Refusal(BAD_KEY, "a login without a key needs a database")
+            return None
+        opened = await self.runner.open(checked_id, service)
+        if isinstance(opened, Failure):
+            return opened.failure()
+        applied = self.runner.apply_attributes(attributes)
+        return applied.failure() if isinstance(applied, Failure) else None
+
+    async def _switch_plugin(self) -> bytes:
+        self._nonce = make_nonce()
+        await self.stream.write(
+            packets.make_auth_switch_request(
+                self.server_charset, NATIVE_PLUGIN, self._nonce + b"\x00"
+            )
+        )
+        return await self.stream.read()
+
+    # Answers
+
+    def _ok(self, answer: Answer) -> bytes:
+        return ok_packet(answer, self.runner.status)
+
+    async def _send(self, outcome: Outcome, is_binary: bool = False) -> None:
+        if isinstance(outcome, Failure):
+            self.stream.write_many((error_packet(outcome.failure()),))
+            return
+        answer = outcome.unwrap()
+        try:
+            encoded = answer_packets(answer, self.runner.status, self._is_eof_deprecated, is_binary)
+        except (ValueError, struct.error) as error:
+            _log.error("An answer cannot be encoded: {}.", type(error).__name__)
+            refusal = Refusal(INTERNAL, "the target's answer cannot be encoded")
+            self.stream.write_many((error_packet(refusal),))
+            return
+        await self.stream.write_answer(encoded)
+
+    def _send_refusal(self, refusal: Refusal) -> None:
+        self.stream.write_many((error_packet(refusal),))
+
+    # Commands
+
+    def _decode(self, data: bytes) -> tuple[str, dict[str, str]]:
+        if not self._has_attributes:
+            return data.decode("utf-8", "surrogateescape"), {}
+        if data[:2] == _NO_ATTRIBUTES:
+            return data[2:].decode("utf-8", "surrogateescape"), {}
+        try:
+            query = packets.parse_com_query(self.capabilities, self.client_charset, data)
+        except _PARSE_ERRORS as error:
+            raise PacketMalformed("the statement packet cannot be read") from error
+        attributes = {str(name): str(value) for name, value in query.query_attrs.items()}
+        return query.sql, attributes
+
+    async def handle_query(self, data: bytes) -> None:
+        """Run a statement.
+
+        :param data: the packet after its command byte.
+        """
+        text, attributes = self._decode(data)
+        if attributes:
+            applied = self.runner.apply_attributes(attributes)
+            if isinstance(applied, Failure):
+                self._send_refusal(applied.failure())
+                return
+        await self._send(await self.runner.run(text))
+
+    async def handle_init_db(self, data: bytes) -> None:
+        """Switch to another service.
+
+        :param data: the service's name.
+        """
+        used = await self.runner.use(data.decode("utf-8", "replace"))
+        await self._send(used.map(lambda _: _DONE))
+
+    async def handle_ping(self, data: bytes) -> None:
+        """Answer that the host is alive.
+
+        :param data: ignored.
+        """
+        self.stream.write_many((self._ok(_DONE),))
+
+    async def handle_statistics(self, data: bytes) -> None:
+        """Answer with a text; there is nothing to report to callers.
+
+        :param data: ignored.
+        """
+        self.stream.write_many((b"Uptime: 0",))
+
+    async def handle_unsupported(self, data: bytes) -> None:
+        """Refuse a command.
+
+        :param data: ignored.
+        """
+        self._send_refusal(Refusal(STATEMENT_NOT_SUPPORTED, "the command is not supported"))
+
+    async def handle_set_option(self, data: bytes) -> None:
+        """Refuse texts with several statements, which could not be routed one by one.
+
+        :param data: 0 turns them on, 1 turns them off.
+        """
+        if data[:1] == b"\x01":
+            end = end_packet(_DONE, self.runner.status, self._is_eof_deprecated)
+            self.stream.write_many((end,))
+            return
+        await self.handle_unsupported(data)
+
+    async def handle_reset_connection(self, data: bytes) -> None:
+        """Roll back and forget the session's settings and prepared statements.
+
+        :param data: ignored.
+        """
+        self._statements.clear()
+        await self.runner.reset()
+        self.stream.write_many((self._ok(_DONE),))
+
+    async def handle_change_user(self, data: bytes) -> None:
+        """Log in anew. A failure ends the connection, as a MySQL server does.
+
+        :param data: the packet after its command byte.
+        """
+        try:
+            change = packets.parse_com_change_user(self.capabilities, self.client_charset, data)
+        except _PARSE_ERRORS as error:
+            raise PacketMalformed("the login packet cannot be read") from error
+        self._statements.clear()
+        await self.runner.close()
+        self.runner = StatementRunner(self._gateway)
+        self.session.username = change.username
+        async with asyncio.timeout(self._login_limit_s):
+            refusal = await self._log_in(
+                change.username,
+                change.auth_response,
+                change.client_plugin,
+                change.database or "",
+                change.connect_attrs or {},
+            )
+        if refusal is not None:
+            await self._refuse_and_close(refusal)
+            raise ConnectionClosed
+        self.stream.write_many((self._ok(_DONE),))
+
+    # Prepared statements
+
+    async def handle_stmt_prepare(self, data: bytes) -> None:
+        """Prepare a statement. It is checked at the target only when it is executed.
+
+        :param data: the statement's text.
+        """
+        if len(self._statements) >= MAX_PREPARED_STATEMENTS:
+            detail = f"more than {MAX_PREPARED_STATEMENTS} prepared statements"
+            self._send_refusal(Refusal(STATEMENT_NOT_SUPPORTED, detail))
+            return
+        try:
+            text = data.decode("utf-8", "surrogateescape")
+            statement = PreparedStatement(self._next_statement, text)
+        except ValueError as error:
+            self._send_refusal(Refusal(STATEMENT_NOT_SUPPORTED, str(error)))
+            return
+        self._next_statement += 1
+        self._statements[statement.number] = statement
+        eof = end_packet(_DONE, self.runner.status, is_eof_deprecated=False)
+        self.stream.write_many(prepare_packets(statement, self._is_eof_deprecated, eof))
+
+    def _statement(self, data: bytes) -> PreparedStatement | None:
+        if len(data) < 4:
+            raise PacketMalformed("the packet has no statement id")
+        return self._statements.get(int.from_bytes(data[:4], "little"))
+
+    async def handle_stmt_execute(self, data: bytes) -> None:
+        """Run a prepared statement. Cursors are not opened; the whole result is sent.
+
+        :param data: the packet after its command byte.
+        """
+        statement = self._statement(data)
+        if statement is None:
+            await self._send(Failure(_unknown_statement()))
+            return
+        try:
+            text = bind(statement, data, self._has_attributes)
+        except PacketTooLarge as error:
+            self._send_refusal(Refusal(STATEMENT_TOO_LARGE, str(error)))
+            return
+        except PacketMalformed as error:
+            self._send_refusal(Refusal(MALFORMED_PACKET, str(error)))
+            return
+        finally:
+            statement.reset()
+        await self._send(await self.runner.run(text), is_binary=True)
+
+    async def handle_stmt_send_long_data(self, data: bytes) -> None:
+        """Keep a part of a parameter. The command has no answer.
+
+        :param data: the packet after its command byte.
+        """
+        statement = self._statement(data)
+        if statement is not None and len(data) >= 6:
+            statement.append_long_data(int.from_bytes(data[4:6], "little"), data[6:])
+
+    async def handle_stmt_close(self, data: bytes) -> None:
+        """Forget a prepared statement. The command has no answer.
+
+        :param data: the statement's id.
+        """
+        self._statements.pop(int.from_bytes(data[:4], "little"), None)
+
+    async def handle_stmt_reset(self, data: bytes) -> None:
+        """Forget parts of parameters.
+
+        :param data: the statement's id.
+        """
+        statement = self._statement(data)
+        if statement is None:
+            await self._send(Failure(_unknown_statement()))
+            return
+        statement.reset()
+        await self._send(Success(_DONE))
+
+
+def _unknown_statement() -> Failed:
+    return Failed(1243, "HY000", "Unknown prepared statement handler")
--- /dev/null
+++ b/libs/proxy/src/pistachiowinch/proxy/interfaces.py
@@ -0,0 +1,72 @@
+"""What the callers' side needs of the gateway."""
+
+from typing import NamedTuple, Protocol
+
+import reactivex
+from returns.result import Result
+
+from pistachiowinch.base.codes import Refusal
+from pistachiowinch.links.targets import Answer, Failed
+from pistachiowinch.routing.session import Session
+from pistachiowinch.routing.statements import Statement
+
+__all__ = ["Credentials", "Gateway"]
+
+
+class Credentials(NamedTuple):
+    """What is known of a key.
+
+    :param customer: the customer that the key belongs to.
+    :param password_hash: ``*`` and 40 hexadecimal digits, MySQL's native form.
+    """
+
+    customer: str
+    password_hash: str
+
+
+class Gateway(Protocol):
+    """Runs the statements of callers' sessions."""
+
+    def credentials(self, key_id: str) -> Credentials | None:
+        """Return what is known of a key, None if there is no such key.
+
+        :param key_id: the key's id.
+        """
+
+    async def open_session(self, key_id: str, service: str) -> Result[Session, Refusal]:
+        """Open a session after the key was checked; an empty key id asks for an open route.
+
+        :param key_id: the key's id; empty without a key.
+        :param service: the database group.
+        """
+
+    async def execute(
+        self, session: Session, statement: Statement
+    ) -> Result[Answer, Refusal | Failed]:
+        """Run one statement.
+
+        :param session: the caller's session.
+        :param statement: the statement.
+        """
+
+    async def reset_session(self, session: Session) -> None:
+        """Roll back and drop connection state; token and settings of the session are cleared.
+
+        :param session: the caller's session.
+        """
+
+    async def close_session(self, session: Session) -> None:
+        """End a session; an open transaction is rolled back.
+
+        :param session: the caller's session.
+        """
+
+    @property
+    def sessions_ended(self) -> reactivex.Observable[Session]:
+        """Sessions that the gateway ended; :attr:`Session.ended` says why."""
+
+    async def stop(self, grace_s: float) -> None:
+        """Stop. Afterwards nothing is running.
+
+        :param grace_s: time for open transactions to end.
+        """
--- /dev/null
+++ b/libs/proxy/src/pistachiowinch/proxy/prepared.py
@@ -0,0 +1,254 @@
+"""Prepared statements: placeholders, and parameters in the binary protocol.
+
+Parameters are written into the statement's text, so that a prepared statement needs no state on a
+target's connection and is routed like any other statement.
+"""
+
+import math
+import re
+import struct
+
+from pistachiowinch.proxy.classify import placeholder_offsets
+from pistachiowinch.proxy.stream import MAX_STATEMENT_BYTES, PacketMalformed, PacketTooLarge
+from pistachiowinch.targets.rows import read_length_encoded
+
+__all__ = ["MAX_PARAMETERS", "PreparedStatement", "bind", "prepare_packets"]
+
+# The count has two bytes in the protocol.
+MAX_PARAMETERS = 65_535
+
+_QUERY_ATTRIBUTES_FLAG = 0x08
+_UNSIGNED_FLAG = 0x8000
+_NULL_TYPE = 6
+_INTEGERS = {1: ("b", "B"), 2: ("h", "H"), 3: ("i", "I"), 8: ("q", "Q"), 9: ("i", "I")}
+_YEAR_TYPE = 13
+_FLOATS = {4: "<f", 5: "<d"}
+_DATE_TYPES = frozenset({7, 10, 12})
+_DATE_ONLY_TYPE = 10
+_TIME_TYPE = 11
+_DECIMAL_TYPES = frozenset({0, 246})
+_BLOB_TYPES = frozenset({249, 250, 251, 252})
+_DECIMAL = re.compile(rb"-?\d{1,65}(?:\.\d{0,30})?")
+_ESCAPES = {0: r"\0", 10: r"\n", 13: r"\r", 26: r"\Z", 34: r"\"", 39: "''", 92: r"\\"}
+
+
+class PreparedStatement:
+    """One prepared statement of one caller.
+
+    :param number: the statement's id on this connection.
+    :param text: the statement with question marks.
+    """
+
+    def __init__(self, number: int, text: str) -> None:
+        """Find the placeholders."""
+        self.number = number
+        self.text = text
+        offsets = placeholder_offsets(text)
+        starts = [0, *(offset + 1 for offset in offsets)]
+        ends = [*offsets, len(text)]
+        self.parts = [text[start:end] for start, end in zip(starts, ends, strict=True)]
+        self.types: list[int] = []
+        self.long_data: dict[int, bytearray] = {}
+        self.is_too_long = False
+
+    @property
+    def parameter_count(self) -> int:
+        """Number of question marks."""
+        return len(self.parts) - 1
+
+    def append_long_data(self, index: int, chunk: bytes) -> None:
+        """Add a part of a parameter. The command has no answer, so errors show at execution.
+
+        :param index: the parameter's number from 0.
+        :param chunk: the bytes.
+        """
+        size_bytes = sum(len(value) for value in self.long_data.values())
+        if index >= self.parameter_count or size_bytes + len(chunk) > MAX_STATEMENT_BYTES:
+            self.is_too_long = True
+            return
+        self.long_data.setdefault(index, bytearray()).extend(chunk)
+
+    def reset(self) -> None:
+        """Forget parts of parameters."""
+        self.long_data.clear()
+        self.is_too_long = False
+
+
+def prepare_packets(
+    statement: PreparedStatement, is_eof_deprecated: bool, eof: bytes
+) -> list[bytes]:
+    """Encode the answer to a preparation.
+
+    The result's columns are sent with the execution only; asking the target would need a
+    statement of its own.
+
+    :param statement: the new statement.
+    :param is_eof_deprecated: whether the caller expects no EOF packet.
+    :param eof: the EOF packet.
+    """
+    count = statement.parameter_count
+    head = struct.pack("<BIHHBH", 0, statement.number, 0, count, 0, 0)
+    parameter = b"\x03def\x00\x00\x00\x01?\x00\x0c" + struct.pack("<HIBHBH", 63, 0, 253, 0, 0, 0)
+    packets = [head, *[parameter] * count]
+    if count and not is_eof_deprecated:
+        packets.append(eof)
+    return packets
+
+
+class _Reader:
+    """Reads fields of one packet and fails on a short packet."""
+
+    def __init__(self, payload: bytes, offset: int) -> None:
+        self.payload = payload
+        self.offset = offset
+
+    def take(self, size_bytes: int) -> bytes:
+        end = self.offset + size_bytes
+        if end > len(self.payload):
+            raise PacketMalformed("the packet ends inside a parameter")
+        raw = self.payload[self.offset : end]
+        self.offset = end
+        return raw
+
+    def unpack(self, layout: str) -> tuple:
+        return struct.unpack(layout, self.take(struct.calcsize(layout)))
+
+    def length(self) -> int:
+        try:
+            value, self.offset = read_length_encoded(self.payload, self.offset)
+        except ValueError as error:
+            raise PacketMalformed(str(error)) from error
+        return value
+
+    def sized(self) -> bytes:
+        return self.take(self.length())
+
+
+def bind(statement: PreparedStatement, data: bytes, has_query_attributes: bool) -> str:
+    """Write an execution's parameters into the statement's text.
+
+    :param statement: the prepared statement.
+    :param data: the packet after its command byte.
+    :param has_query_attributes: whether the caller negotiated query attributes.
+    :raises PacketMalformed: if the parameters are malformed.
+    :raises PacketTooLarge: if the statement with its parameters is too large.
+    """
+    if statement.is_too_long:
+        raise PacketTooLarge("the parameters are too large")
+    reader = _Reader(data, 4)
+    flags, _ = reader.unpack("<BI")
+    count = statement.parameter_count
+    has_named = has_query_attributes and bool(flags & _QUERY_ATTRIBUTES_FLAG)
+    if has_named:
+        count = reader.length()
+        if not statement.parameter_count <= count <= MAX_PARAMETERS:
+            raise PacketMalformed("the number of parameters is wrong")
+    if count == 0:
+        return statement.text
+    nulls = reader.take((count + 7) // 8)
+    if reader.take(1) == b"\x01":
+        statement.types = _read_types(reader, count, has_named)
+    if len(statement.types) < count:
+        raise PacketMalformed("the parameters have no types")
+    literals = [_read_literal(statement, reader, nulls, index) for index in range(count)]
+    return _join(statement, literals)
+
+
+def _read_types(reader: _Reader, count: int, has_names: bool) -> list[int]:
+    types: list[int] = []
+    for _ in range(count):
+        (type_code,) = reader.unpack("<H")
+        types.append(type_code)
+        if has_names:
+            reader.sized()
+    return types
+
+
+def _read_literal(statement: PreparedStatement, reader: _Reader, nulls: bytes, index: int) -> str:
+    type_code = statement.types[index]
+    long_value = statement.long_data.get(index)
+    if long_value is not None:
+        return _bytes_literal(bytes(long_value), type_code & 0xFF)
+    if nulls[index // 8] >> index % 8 & 1 or type_code & 0xFF == _NULL_TYPE:
+        return "NULL"
+    return _literal(reader, type_code)
+
+
+def _join(statement: PreparedStatement, literals: list[str]) -> str:
+    pieces = [statement.parts[0]]
+    # Query attributes follow the statement's own parameters and are not part of its text.
+    for part, literal in zip(statement.parts[1:], literals, strict=False):
+        pieces += [literal, part]
+    text = "".join(pieces)
+    if len(text) > MAX_STATEMENT_BYTES:
+        raise PacketTooLarge("the statement with its parameters is too large")
+    return text
+
+
+def _literal(reader: _Reader, type_code: int) -> str:
+    kind = type_code & 0xFF
+    if kind in _INTEGERS:
+        signed, unsigned = _INTEGERS[kind]
+        layout = unsigned if type_code & _UNSIGNED_FLAG else signed
+        return _spaced(str(reader.unpack("<" + layout)[0]))
+    if kind == _YEAR_TYPE:
+        return str(reader.unpack("<H")[0])
+    if kind in _FLOATS:
+        return _float_literal(reader.unpack(_FLOATS[kind])[0])
+    if kind in _DATE_TYPES:
+        return _date_literal(reader, kind)
+    if kind == _TIME_TYPE:
+        return _time_literal(reader)
+    return _bytes_literal(reader.sized(), kind)
+
+
+def _spaced(number: str) -> str:
+    # "a-?" with -1 must not become the start of a comment.
+    return f" {number}" if number.startswith("-") else number
+
+
+def _float_literal(number: float) -> str:
+    if not math.isfinite(number):
+        raise PacketMalformed("a parameter is not a finite number")
+    return _spaced(repr(number))
+
+
+def _date_literal(reader: _Reader, kind: int) -> str:
+    size_bytes = reader.take(1)[0]
+    if size_bytes == 0:
+        return "'0000-00-00'" if kind == _DATE_ONLY_TYPE else "'0000-00-00 00:00:00'"
+    if size_bytes not in (4, 7, 11):
+        raise PacketMalformed("a date parameter has a wrong length")
+    year, month, day = reader.unpack("<HBB")
+    text = f"{year:04d}-{month:02d}-{day:02d}"
+    if size_bytes >= 7:
+        hour, minute, second = reader.unpack("<BBB")
+        text += f" {hour:02d}:{minute:02d}:{second:02d}"
+    if size_bytes == 11:
+        text += f".{reader.unpack('<I')[0]:06d}"
+    return f"'{text}'"
+
+
+def _time_literal(reader: _Reader) -> str:
+    size_bytes = reader.take(1)[0]
+    if size_bytes == 0:
+        return "'00:00:00'"
+    if size_bytes not in (8, 12):
+        raise PacketMalformed("a time parameter has a wrong length")
+    is_negative, days, hour, minute, second = reader.unpack("<BIBBB")
+    text = f"{'-' if is_negative else ''}{days * 24 + hour:02d}:{minute:02d}:{second:02d}"
+    if size_bytes == 12:
+        text += f".{reader.unpack('<I')[0]:06d}"
+    return f"'{text}'"
+
+
+def _bytes_literal(raw: bytes, kind: int) -> str:
+    if kind in _DECIMAL_TYPES and _DECIMAL.fullmatch(raw):
+        return _spaced(raw.decode("ascii"))
+    if kind in _BLOB_TYPES:
+        return f"x'{raw.hex()}'"
+    try:
+        text = raw.decode("utf-8")
+    except UnicodeDecodeError:
+        return f"x'{raw.hex()}'"
+    return f"'{text.translate(_ESCAPES)}'"
--- /dev/null
+++ b/libs/proxy/src/pistachiowinch/proxy/server.py
@@ -0,0 +1,147 @@
+"""Accepts callers and stops gracefully."""
+
+import asyncio
+
+from mysql_mimic.control import LocalControl
+from reactivex.abc import DisposableBase
+
+from pistachiowinch.base.clock import now_s
+from pistachiowinch.base.codes import HOST_STOPPING, TOO_MANY_CONNECTIONS, Refusal
+from pistachiowinch.base.logs import part_logger
+from pistachiowinch.base.metrics import Metrics
+from pistachiowinch.proxy.connection import LOGIN_LIMIT_S, CallerConnection
+from pistachiowinch.proxy.interfaces import Gateway
+from pistachiowinch.proxy.stream import PacketStream
+from pistachiowinch.proxy.wire import error_packet
+from pistachiowinch.routing.session import Session
+
+__all__ = ["MAX_CONNECTIONS", "CallerServer"]
+
+MAX_CONNECTIONS = 10_000
+
+_BACKLOG = 1024
+# Longer than the notice that a caller gets, so that running statements get their answers.
+_END_LIMIT_S = 5.0
+
+_log = part_logger("callers")
+
+
+class CallerServer:
+    """Listens for callers.
+
+    :param gateway: runs their statements.
+    :param metrics: counts open sessions; None counts nothing.
+    :param max_connections: further callers are refused.
+    :param login_limit_s: time for one login.
+    """
+
+    def __init__(
+        self,
+        gateway: Gateway,
+        metrics: Metrics | None = None,
+        max_connections: int = MAX_CONNECTIONS,
+        login_limit_s: float = LOGIN_LIMIT_S,
+    ) -> None:
+        """Start without listening."""
+        self._gateway = gateway
+        self._metrics = metrics
+        self._max_connections = max_connections
+        self._login_limit_s = login_limit_s
+        self._control = LocalControl()
+        self._server: asyncio.Server | None = None
+        self._connections: dict[asyncio.Task[None], CallerConnection] = {}
+        self._subscription: DisposableBase | None = None
+        self._is_stopping = False
+
+    @property
+    def connection_count(self) -> int:
+        """Open connections, including those that log in."""
+        return len(self._connections)
+
+    @property
+    def port(self) -> int:
+        """Port of the first listening socket.
+
+        :raises RuntimeError: if the server does not listen.
+        """
+        if self._server is None or not self._server.sockets:
+            raise RuntimeError("the server does not listen")
+        return self._server.sockets[0].getsockname()[1]
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen.
+
+        :param host: address to listen on.
+        :param port: port; 0 takes a free one.
+        :raises OSError: if the address is in use.
+        """
+        self._subscription = self._gateway.sessions_ended.subscribe(on_next=self._on_session_ended)
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: PacketStream(self.accept), host, port, backlog=_BACKLOG
+        )
+
+    def accept(self, stream: PacketStream) -> None:
+        """Serve a connected caller in a task of its own.
+
+        :param stream: the caller's packets.
+        """
+        refusal = self._refusal_at_accept()
+        if refusal is not None:
+            stream.write_many((error_packet(refusal),))
+            stream.close()
+            return
+        connection = CallerConnection(stream, self._control, self._gateway, self._login_limit_s)
+        task = asyncio.get_running_loop().create_task(connection.start())
+        self._connections[task] = connection
+        task.add_done_callback(self._on_connection_done)
+        self._show_count()
+
+    def _refusal_at_accept(self) -> Refusal | None:
+        if self._is_stopping:
+            return Refusal(HOST_STOPPING, "this host accepts no new connections")
+        if len(self._connections) >= self._max_connections:
+            return Refusal(TOO_MANY_CONNECTIONS, f"{self._max_connections} connections are open")
+        return None
+
+    def _on_connection_done(self, task: asyncio.Task[None]) -> None:
+        del self._connections[task]
+        self._show_count()
+        if not task.cancelled() and task.exception() is not None:
+            _log.error("A connection ended with {}.", type(task.exception()).__name__)
+
+    def _show_count(self) -> None:
+        if self._metrics is not None:
+            self._metrics.sessions.set(len(self._connections))
+
+    def _on_session_ended(self, session: Session) -> None:
+        for connection in self._connections.values():
+            if connection.runner.session is session:
+                default = Refusal(HOST_STOPPING, "the session was ended")
+                connection.end(session.ended or default)
+                return
+
+    async def stop(self, grace_s: float) -> None:
+        """Stop accepting, let open transactions and running statements end, then close.
+
+        :param grace_s: time for transactions to end; afterwards they are rolled back.
+        """
+        self._is_stopping = True
+        if self._server is not None:
+            self._server.close()
+        refusal = Refusal(HOST_STOPPING, "this host stops")
+        for connection in list(self._connections.values()):
+            connection.end(refusal, waits_for_transaction=True)
+        await self._wait_for_connections(now_s() + grace_s)
+        for connection in list(self._connections.values()):
+            connection.end(refusal)
+        await self._wait_for_connections(now_s() + _END_LIMIT_S)
+        for task in list(self._connections):
+            task.cancel()
+        await self._wait_for_connections(now_s() + _END_LIMIT_S)
+        if self._subscription is not None:
+            self._subscription.dispose()
+
+    async def _wait_for_connections(self, deadline_s: float) -> None:
+        if self._connections:
+            await asyncio.wait(set(self._connections), timeout=max(deadline_s - now_s(), 0.0))
--- /dev/null
+++ b/libs/proxy/src/pistachiowinch/proxy/stream.py
@@ -0,0 +1,288 @@
+"""Packets of one caller's connection, with limits on what a caller can make the process hold."""
+
+import asyncio
+import socket
+from collections.abc import Callable, Iterable
+
+from mysql_mimic.stream import ConnectionClosed
+
+__all__ = [
+    "MAX_LOGIN_BYTES",
+    "MAX_STATEMENT_BYTES",
+    "ConnectionClosed",
+    "PacketMalformed",
+    "PacketStream",
+    "PacketTooLarge",
+    "ReadInterrupted",
+]
+
+# Below MySQL's frame size of 16 MiB - 1, so that a statement is always a single frame.
+MAX_STATEMENT_BYTES = 16_000_000
+# A login consists of a name, a digest and attributes; unknown peers get no more memory than that.
+MAX_LOGIN_BYTES = 65_536
+# A caller that does not read its answer loses the connection after this time.
+WRITE_STALL_LIMIT_S = 30.0
+
+_HEADER_BYTES = 4
+_FRAME_BYTES = 0xFFFFFF
+_CHUNK_BYTES = 262_144
+# Received bytes beyond one packet are left in the kernel, which slows the caller down.
+_READ_AHEAD_BYTES = 65_536
+_KEEPALIVE_IDLE_S = 60
+_KEEPALIVE_INTERVAL_S = 10
+_KEEPALIVE_PROBES = 3
+_USER_TIMEOUT_MS = 60_000
+
+
+class PacketMalformed(Exception):
+    """The caller does not follow the packet protocol."""
+
+
+class PacketTooLarge(Exception):
+    """The caller announced a packet above the limit."""
+
+
+class ReadInterrupted(Exception):
+    """Reading was interrupted because the session ends."""
+
+
+class PacketStream(asyncio.Protocol):
+    """Reads and writes MySQL packets. Has the methods of ``mysql_mimic.stream.MysqlStream``.
+
+    :param on_connected: called once with this stream.
+    """
+
+    def __init__(self, on_connected: Callable[["PacketStream"], None]) -> None:
+        """Start unconnected."""
+        self._on_connected = on_connected
+        self._transport: asyncio.Transport | None = None
+        self._buffer = bytearray()
+        self._reader: asyncio.Future[None] | None = None
+        self._writer: asyncio.Future[None] | None = None
+        self._is_closed = False
+        self._is_interrupted = False
+        self._is_reading_paused = False
+        self._is_discarding = False
+        self.seq = 0
+        self.limit_bytes = MAX_LOGIN_BYTES
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Start the connection's task."""
+        self._transport = transport
+        sock = transport.get_extra_info("socket")
+        if sock is not None and sock.family in (socket.AF_INET, socket.AF_INET6):
+            _set_keepalive(sock)
+        self._on_connected(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Keep received bytes until they are read."""
+        if self._is_discarding:
+            return
+        self._buffer += data
+        if len(self._buffer) > self._wanted_bytes() + _READ_AHEAD_BYTES:
+            self._transport.pause_reading()
+            self._is_reading_paused = True
+        self._wake(self._reader)
+
+    def eof_received(self) -> bool:
+        """Treat a half-closed connection as closed; no answer could be confirmed."""
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Wake whoever waits for the caller."""
+        self._is_closed = True
+        self._wake(self._reader)
+        self._wake(self._writer)
+
+    def pause_writing(self) -> None:
+        """Make :meth:`drain` wait."""
+        self._writer = asyncio.get_running_loop().create_future()
+
+    def resume_writing(self) -> None:
+        """Let :meth:`drain` continue."""
+        self._wake(self._writer)
+        self._writer = None
+
+    @staticmethod
+    def _wake(waiter: asyncio.Future[None] | None) -> None:
+        if waiter is not None and not waiter.done():
+            waiter.set_result(None)
+
+    def _wanted_bytes(self) -> int:
+        if len(self._buffer) < _HEADER_BYTES:
+            return _HEADER_BYTES
+        return min(int.from_bytes(self._buffer[:3], "little"), self.limit_bytes) + _HEADER_BYTES
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether the caller is gone."""
+        return self._is_closed
+
+    def interrupt(self) -> None:
+        """Make a waiting or the next :meth:`read` without a packet raise ReadInterrupted."""
+        self._is_interrupted = True
+        self._wake(self._reader)
+
+    def reset_seq(self) -> None:
+        """Start a new exchange."""
+        self.seq = 0
+
+    async def read(self) -> bytes:
+        """Return the next packet's payload.
+
+        :raises ConnectionClosed: if the caller is gone.
+        :raises PacketMalformed: if the packet's number is wrong.
+        :raises PacketTooLarge: if the packet is larger than :attr:`limit_bytes`.
+        :raises ReadInterrupted: after :meth:`interrupt`.
+        """
+        while True:
+            payload = self._take()
+            if payload is not None:
+                return payload
+            if self._is_closed:
+                raise ConnectionClosed
+            if self._is_interrupted:
+                self._is_interrupted = False
+                raise ReadInterrupted
+            self._reader = asyncio.get_running_loop().create_future()
+            try:
+                await self._reader
+            finally:
+                self._reader = None
+
+    def _take(self) -> bytes | None:
+        buffer = self._buffer
+        if len(buffer) < _HEADER_BYTES:
+            return None
+        length_bytes = int.from_bytes(buffer[:3], "little")
+        if length_bytes > self.limit_bytes:
+            raise PacketTooLarge(f"a packet of {length_bytes} bytes; {self.limit_bytes} allowed")
+        if buffer[3] != self.seq:
+            raise PacketMalformed(f"packet number {buffer[3]} instead of {self.seq}")
+        end = _HEADER_BYTES + length_bytes
+        if len(buffer) < end:
+            return None
+        payload = bytes(buffer[_HEADER_BYTES:end])
+        del buffer[:end]
+        self.seq = (self.seq + 1) & 0xFF
+        if self._is_reading_paused and len(buffer) <= _READ_AHEAD_BYTES:
+            self._is_reading_paused = False
+            self._transport.resume_reading()
+        return payload
+
+    def write_many(self, payloads: Iterable[bytes]) -> None:
+        """Queue packets without waiting.
+
+        :param payloads: the packets' payloads.
+        """
+        parts: list[bytes] = []
+        seq = self.seq
+        for payload in payloads:
+            length_bytes = len(payload)
+            if length_bytes >= _FRAME_BYTES:
+                parts.append(self._split(payload, seq))
+                seq += length_bytes // _FRAME_BYTES + 1
+                continue
+            parts.append((length_bytes | (seq & 0xFF) << 24).to_bytes(4, "little"))
+            parts.append(payload)
+            seq += 1
+        self.seq = seq & 0xFF
+        if not self._is_closed:
+            self._transport.write(b"".join(parts))
+
+    @staticmethod
+    def _split(payload: bytes, seq: int) -> bytes:
+        frames: list[bytes] = []
+        for number, start in enumerate(range(0, len(payload) + 1, _FRAME_BYTES)):
+            frame = payload[start : start + _FRAME_BYTES]
+            header = len(frame) | ((seq + number) & 0xFF) << 24
+            frames += [header.to_bytes(4, "little"), frame]
+        return b"".join(frames)
+
+    async def write_answer(self, payloads: list[bytes]) -> None:
+        """Write a whole answer, waiting while the caller reads slowly.
+
+        :param payloads: the packets' payloads.
+        :raises ConnectionClosed: if the caller is gone or does not read.
+        """
+        size_bytes = 0
+        start = 0
+        for index, payload in enumerate(payloads):
+            size_bytes += len(payload)
+            if size_bytes >= _CHUNK_BYTES:
+                self.write_many(payloads[start : index + 1])
+                await self.drain()
+                start = index + 1
+                size_bytes = 0
+        self.write_many(payloads[start:] if start else payloads)
+        if self._writer is not None or self._is_closed:
+            await self.drain()
+
+    async def write(self, data: bytes, drain: bool = True) -> None:
+        """Write one packet.
+
+        :param data: the packet's payload.
+        :param drain: whether to wait for a slow caller.
+        """
+        self.write_many((data,))
+        if drain:
+            await self.drain()
+
+    async def drain(self) -> None:
+        """Wait until the caller has read enough.
+
+        :raises ConnectionClosed: if the caller is gone or does not read.
+        """
+        writer = self._writer
+        if writer is not None and not self._is_closed:
+            try:
+                async with asyncio.timeout(WRITE_STALL_LIMIT_S):
+                    await asyncio.shield(writer)
+            except TimeoutError:
+                self.abort()
+                raise ConnectionClosed from None
+        if self._is_closed:
+            raise ConnectionClosed
+
+    def close(self) -> None:
+        """Close after queued packets were sent."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def finish(self) -> None:
+        """Send what is queued, then end the sending side.
+
+        Closing a socket with unread input resets it, and the caller would lose a final error.
+        """
+        self._is_discarding = True
+        self._buffer.clear()
+        if self._is_closed:
+            return
+        if self._is_reading_paused:
+            self._is_reading_paused = False
+            self._transport.resume_reading()
+        if self._transport.can_write_eof() and not self._transport.is_closing():
+            self._transport.write_eof()
+
+    async def wait_closed(self, limit_s: float) -> None:
+        """Wait until the caller closes its side, at most for a while.
+
+        :param limit_s: seconds after which the connection is closed anyway.
+        """
+        if not self._is_closed:
+            self._reader = asyncio.get_running_loop().create_future()
+            await asyncio.wait([self._reader], timeout=limit_s)
+            self._reader = None
+
+    def abort(self) -> None:
+        """Close at once, dropping what was not sent."""
+        if self._transport is not None:
+            self._transport.abort()
+
+
+def _set_keepalive(sock: socket.socket) -> None:
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS)
--- /dev/null
+++ b/libs/targets/src/pistachiowinch/targets/orders.py
@@ -0,0 +1,135 @@
+"""Orders to a database group as SQL statements.
+
+This module is the only place that knows how a database group is commanded. It is replaced when
+the users' own interface is connected; nothing else depends on the statements' form.
+"""
+
+import re
+from collections.abc import Sequence
+from typing import Any, NamedTuple
+
+from pistachiowinch.links.targets import Column, FenceReply, TargetRole, TargetStatus
+
+__all__ = [
+    "REPLY_COLUMNS",
+    "FenceOrder",
+    "FollowOrder",
+    "GroupOrder",
+    "PromoteOrder",
+    "StatusOrder",
+    "order_text",
+    "parse_order",
+    "parse_reply",
+    "reply_row",
+]
+
+_INTEGER = 8
+_TEXT = 253
+_NOT_NULL = 1
+
+REPLY_COLUMNS = tuple(
+    Column(name, type_code, flags=_NOT_NULL)
+    for name, type_code in (
+        ("is_accepted", _INTEGER),
+        ("target", _TEXT),
+        ("role", _TEXT),
+        ("promised_term", _INTEGER),
+        ("stream_term", _INTEGER),
+        ("log_term", _INTEGER),
+        ("position", _INTEGER),
+        ("applied_position", _INTEGER),
+    )
+)
+
+_ORDER = re.compile(r"CALL pistachiowinch_(status|fence|promote|follow)\((.*)\)")
+_TERM = re.compile(r"\d{1,19}")
+_FOLLOW_ARGUMENTS = re.compile(r"(\d{1,19}), '([^'\\]*)'")
+
+
+class StatusOrder(NamedTuple):
+    """Report the target's state."""
+
+
+class FenceOrder(NamedTuple):
+    """Refuse terms lower than this one."""
+
+    term: int
+
+
+class PromoteOrder(NamedTuple):
+    """Become primary of this term."""
+
+    term: int
+
+
+class FollowOrder(NamedTuple):
+    """Become a replica of this primary."""
+
+    term: int
+    primary: str
+
+
+GroupOrder = StatusOrder | FenceOrder | PromoteOrder | FollowOrder
+
+
+def order_text(order: GroupOrder) -> str:
+    """Write an order as a statement.
+
+    :param order: the order.
+    :raises ValueError: if the primary's name cannot be quoted.
+    """
+    match order:
+        case StatusOrder():
+            return "CALL pistachiowinch_status()"
+        case FenceOrder(term):
+            return f"CALL pistachiowinch_fence({term})"
+        case PromoteOrder(term):
+            return f"CALL pistachiowinch_promote({term})"
+        case FollowOrder(term, primary):
+            if "'" in primary or "\\" in primary:
+                raise ValueError("a target's name must not contain quotes or backslashes")
+            return f"CALL pistachiowinch_follow({term}, '{primary}')"
+
+
+def parse_order(text: str) -> GroupOrder | None:
+    """Read a statement as an order.
+
+    :param text: the statement.
+    :returns: the order, None if the statement is not one.
+    """
+    found = _ORDER.fullmatch(text)
+    if found is None:
+        return None
+    name, arguments = found.groups()
+    if name == "status":
+        return StatusOrder() if not arguments else None
+    if name == "follow":
+        values = _FOLLOW_ARGUMENTS.fullmatch(arguments)
+        return FollowOrder(int(values[1]), values[2]) if values else None
+    if not _TERM.fullmatch(arguments):
+        return None
+    return FenceOrder(int(arguments)) if name == "fence" else PromoteOrder(int(arguments))
+
+
+def reply_row(reply: FenceReply) -> tuple[Any, ...]:
+    """Write a reply as a row of :data:`REPLY_COLUMNS`.
+
+    :param reply: the target's reply; a status counts as accepted.
+    """
+    status = reply.status
+    return (int(reply.is_accepted), status.target, status.role.value, *status[2:])
+
+
+def parse_reply(rows: Sequence[Sequence[Any]]) -> FenceReply:
+    """Read the rows of an answer as a reply.
+
+    :param rows: the answer's rows.
+    :raises ValueError: if they are not exactly one reply.
+    """
+    if len(rows) != 1 or len(rows[0]) != len(REPLY_COLUMNS):
+        raise ValueError("the answer is not one row of a group's reply")
+    is_accepted, target, role, *numbers = rows[0]
+    if any(not isinstance(number, int) or number < 0 for number in numbers):
+        raise ValueError("a group's reply has terms or positions that are not numbers")
+    status = TargetStatus(str(target), TargetRole(role), *numbers)
+    return FenceReply(bool(is_accepted), status)
--- /dev/null
+++ b/libs/targets/src/pistachiowinch/targets/rows.py
@@ -0,0 +1,154 @@
+"""Result rows in MySQL's text encoding, decoded only when somebody reads them.
+
+Most rows pass through the product unread. Keeping the row packets as the target sent them saves
+decoding and encoding each value.
+"""
+
+import decimal
+from collections.abc import Callable, Iterator, Sequence
+from typing import Any, overload
+
+from pistachiowinch.links.targets import Column
+
+__all__ = ["NULL_MARK", "TextRows", "read_length_encoded", "split_row"]
+
+NULL_MARK = 0xFB
+
+_BINARY_CHARSET = 63
+_INTEGER_TYPES = frozenset({1, 2, 3, 8, 9, 13})
+_FLOAT_TYPES = frozenset({4, 5})
+_DECIMAL_TYPES = frozenset({0, 246})
+_TEMPORAL_TYPES = frozenset({7, 10, 11, 12, 14})
+_BIT_TYPE = 16
+_JSON_TYPE = 245
+_EXTENDED_LENGTH_BYTES = {0xFC: 2, 0xFD: 3, 0xFE: 8}
+
+
+def read_length_encoded(payload: bytes, offset: int) -> tuple[int, int]:
+    """Read a length-encoded integer.
+
+    :param payload: a packet's payload.
+    :param offset: where the integer starts.
+    :returns: the integer and the offset after it.
+    :raises ValueError: if the packet ends early or the mark is not a length.
+    """
+    if offset >= len(payload):
+        raise ValueError("the packet ends before a length")
+    first = payload[offset]
+    if first < NULL_MARK:
+        return first, offset + 1
+    size_bytes = _EXTENDED_LENGTH_BYTES.get(first)
+    if size_bytes is None:
+        raise ValueError(f"0x{first:02x} is not a length")
+    end = offset + 1 + size_bytes
+    if end > len(payload):
+        raise ValueError("the packet ends inside a length")
+    return int.from_bytes(payload[offset + 1 : end], "little"), end
+
+
+def split_row(payload: bytes, column_count: int) -> list[bytes | None]:
+    """Split a text row packet into its values.
+
+    :param payload: the packet's payload.
+    :param column_count: number of columns of the result set.
+    :returns: the values as text, None for NULL.
+    :raises ValueError: if the packet does not hold exactly these columns.
+    """
+    values: list[bytes | None] = []
+    offset = 0
+    for _ in range(column_count):
+        if offset < len(payload) and payload[offset] == NULL_MARK:
+            values.append(None)
+            offset += 1
+            continue
+        length_bytes, offset = read_length_encoded(payload, offset)
+        end = offset + length_bytes
+        if end > len(payload):
+            raise ValueError("the row packet ends inside a value")
+        values.append(payload[offset:end])
+        offset = end
+    if offset != len(payload):
+        raise ValueError("the row packet has more values than columns")
+    return values
+
+
+def _decode_text(raw: bytes) -> str:
+    return raw.decode("utf-8", "surrogateescape")
+
+
+def _decode_decimal(raw: bytes) -> decimal.Decimal:
+    return decimal.Decimal(raw.decode("ascii"))
+
+
+def _decoder(column: Column) -> Callable[[bytes], Any]:
+    kind = column.type_code
+    if kind in _INTEGER_TYPES:
+        return int
+    if kind in _FLOAT_TYPES:
+        return float
+    if kind in _DECIMAL_TYPES:
+        return _decode_decimal
+    if kind in _TEMPORAL_TYPES or kind == _JSON_TYPE:
+        return _decode_text
+    if kind == _BIT_TYPE or column.charset == _BINARY_CHARSET:
+        return bytes
+    return _decode_text
+
+
+class TextRows(Sequence[tuple[Any, ...]]):
+    """Rows of one result set. Reading a row decodes it by the types of the columns.
+
+    :param columns: the result set's columns.
+    :param payloads: row packets without headers.
+    """
+
+    __slots__ = ("columns", "payloads")
+
+    def __init__(self, columns: tuple[Column, ...], payloads: tuple[bytes, ...]) -> None:
+        """Keep the packets undecoded."""
+        self.columns = columns
+        self.payloads = payloads
+
+    def texts(self) -> Iterator[list[bytes | None]]:
+        """Yield the rows as text values."""
+        for payload in self.payloads:
+            yield split_row(payload, len(self.columns))
+
+    def _decode(self, payload: bytes) -> tuple[Any, ...]:
+        values = split_row(payload, len(self.columns))
+        pairs = zip(self.columns, values, strict=True)
+        return tuple(None if raw is None else _decoder(column)(raw) for column, raw in pairs)
+
+    def __len__(self) -> int:
+        """Return the number of rows."""
+        return len(self.payloads)
+
+    @overload
+    def __getitem__(self, index: int) -> tuple[Any, ...]: ...
+
+    @overload
+    def __getitem__(self, index: slice) -> tuple[tuple[Any, ...], ...]: ...
+
+    def __getitem__(self, index: int | slice) -> Any:
+        """Return one decoded row, or several."""
+        if isinstance(index, slice):
+            return tuple(self._decode(payload) for payload in self.payloads[index])
+        return self._decode(self.payloads[index])
+
+    def __iter__(self) -> Iterator[tuple[Any, ...]]:
+        """Yield decoded rows."""
+        return (self._decode(payload) for payload in self.payloads)
+
+    def __eq__(self, other: object) -> bool:
+        """Compare decoded rows with those of another sequence."""
+        if isinstance(other, TextRows | tuple | list):
+            return tuple(self) == tuple(other)
+        return NotImplemented
+
+    def __hash__(self) -> int:
+        """Return the hash of the equal tuple of rows."""
+        return hash(tuple(self))
+
+    def __repr__(self) -> str:
+        """Show the decoded rows."""
+        return repr(tuple(self))
