--- /dev/null
+++ b/libs/measure/src/pistachiowinch/measure/speed.py
@@ -0,0 +1,291 @@
+"""Statement rate of one process through the callers' server and a pool, against direct access.
+
+Both ways run in the same process, one after the other and interleaved in rounds, with the same
+callers, the same stand-in target and the same statement, so that the ratio does not depend on the
+machine's speed. Run it with ``python -m pistachiowinch.measure.speed``.
+"""
+
+import argparse
+import asyncio
+import gc
+import statistics
+import time
+import tracemalloc
+from collections.abc import Callable
+from typing import NamedTuple
+
+from reactivex import Observable
+from reactivex.subject import Subject
+from returns.result import Failure, Result, Success
+
+from pistachiowinch.base.clock import now_s
+from pistachiowinch.base.codes import OUTCOME_UNKNOWN, Refusal
+from pistachiowinch.links.targets import (
+    Answer,
+    Answered,
+    Column,
+    ExecuteOutcome,
+    Failed,
+    FenceReply,
+    Lost,
+    TargetConnection,
+    TargetRole,
+    TargetStatus,
+)
+from pistachiowinch.proxy.interfaces import Credentials, Gateway
+from pistachiowinch.proxy.login import hash_password
+from pistachiowinch.proxy.server import CallerServer
+from pistachiowinch.routing.session import Session
+from pistachiowinch.routing.statements import Statement
+from pistachiowinch.standins.mysql_server import Login, MysqlTargetServer
+from pistachiowinch.targets.link import MysqlTargetLink, TargetAddress, TargetCredentials
+from pistachiowinch.targets.pool import ConnectionPool
+
+__all__ = ["PassThroughGateway", "SpeedFigures", "measure_speed", "start_pass_through"]
+
+TARGET = "target-1"
+SERVICE = "service"
+KEY_ID = "key"
+KEY = "speed-key"
+STATEMENT = "SELECT id, name FROM items WHERE id = 1"
+
+_HOST = "127.0.0.1"
+_LOGIN = Login("product", "product-password")
+_DEADLINE_S = 5.0
+_ANSWER = Answer(
+    columns=(Column("id", 8, flags=0x21, length_bytes=20), Column("name", 253, length_bytes=160)),
+    rows=((1, "cement mixer"),),
+)
+
+
+class SpeedFigures(NamedTuple):
+    """Result of one run.
+
+    :param direct_per_s: statements/s directly at the target, median of the rounds.
+    :param proxied_per_s: statements/s through callers' server and pool, median of the rounds.
+    :param ratio: median of the rounds' ratios.
+    :param idle_connection_kb: memory of one idle caller connection on the server's side.
+    """
+
+    direct_per_s: float
+    proxied_per_s: float
+    ratio: float
+    idle_connection_kb: float
+
+
+class _FixedConnection:
+    """Engine that answers each statement at once, so that only the protocol costs time."""
+
+    is_usable = True
+
+    async def execute(self, text: str) -> ExecuteOutcome:
+        return Answered(_ANSWER)
+
+    async def close(self) -> None:
+        """Nothing to close."""
+
+
+class _FixedEngine:
+    """Target link and group link of a target that never changes."""
+
+    async def connect(self, target: str) -> TargetConnection:
+        return _FixedConnection()
+
+    async def status(self, target: str) -> TargetStatus:
+        return TargetStatus(target, TargetRole.PRIMARY, 1, 1, 1, 1, 1)
+
+    async def fence(self, target: str, term: int) -> FenceReply:
+        return FenceReply(False, await self.status(target))
+
+    async def promote(self, target: str, term: int) -> FenceReply:
+        return await self.fence(target, term)
+
+    async def follow(self, target: str, term: int, primary: str) -> FenceReply:
+        return await self.fence(target, term)
+
+
+class PassThroughGateway:
+    """Sends each statement over a pool without admission, limits or routing.
+
+    :param pool: connections to the only target.
+    """
+
+    def __init__(self, pool: ConnectionPool) -> None:
+        """Know one key."""
+        self._pool = pool
+        self._ended: Subject[Session] = Subject()
+        self._credentials = Credentials("customer", hash_password(KEY))
+
+    @property
+    def sessions_ended(self) -> Observable[Session]:
+        """No session is ever ended."""
+        return self._ended
+
+    def credentials(self, key_id: str) -> Credentials | None:
+        """Return what is known of a key."""
+        return self._credentials if key_id == KEY_ID else None
+
+    async def open_session(self, key_id: str, service: str) -> Result[Session, Refusal]:
+        """Open a session."""
+        return Success(Session(key_id, "customer", service))
+
+    async def execute(
+        self, session: Session, statement: Statement
+    ) -> Result[Answer, Refusal | Failed]:
+        """Run one statement over a pooled connection."""
+        acquired = await self._pool.acquire(now_s() + _DEADLINE_S)
+        if isinstance(acquired, Failure):
+            return acquired
+        connection = acquired.unwrap()
+        is_clean = False
+        try:
+            outcome = await connection.execute(statement.text)
+            is_clean = not isinstance(outcome, Lost)
+        finally:
+            self._pool.release(connection, is_clean)
+        match outcome:
+            case Answered(answer):
+                return Success(answer)
+            case Failed():
+                return Failure(outcome)
+            case Lost(_, reason):
+                return Failure(Refusal(OUTCOME_UNKNOWN, reason))
+
+    async def reset_session(self, session: Session) -> None:
+        """Nothing to reset."""
+
+    async def close_session(self, session: Session) -> None:
+        """Nothing to close."""
+
+    async def stop(self, grace_s: float) -> None:
+        """Nothing is running."""
+
+
+def start_pass_through(link: MysqlTargetLink, connections: int) -> Gateway:
+    """Build the gateway that the ratio's target was set for.
+
+    :param link: opens connections to the target.
+    :param connections: connections of the pool.
+    """
+    return PassThroughGateway(ConnectionPool(link, TARGET, connections))
+
+
+GatewayFactory = Callable[[MysqlTargetLink, int], Gateway]
+
+
+def _link_to(port: int, login: TargetCredentials) -> MysqlTargetLink:
+    return MysqlTargetLink(lambda _: TargetAddress(_HOST, port), login, SERVICE)
+
+
+async def _open_callers(link: MysqlTargetLink, count: int) -> list[TargetConnection]:
+    return [await link.connect(TARGET) for _ in range(count)]
+
+
+async def _rate(callers: list[TargetConnection], statements: int) -> float:
+    async def run(caller: TargetConnection) -> None:
+        for _ in range(statements):
+            outcome = await caller.execute(STATEMENT)
+            if not isinstance(outcome, Answered) or len(outcome.answer.rows) != 1:
+                raise RuntimeError(f"a statement was not answered: {outcome}")
+
+    started_s = time.perf_counter()
+    await asyncio.gather(*(run(caller) for caller in callers))
+    return len(callers) * statements / (time.perf_counter() - started_s)
+
+
+async def _idle_connection_kb(server: CallerServer, count: int) -> float:
+    """Measure the server's memory for idle callers. The callers are plain sockets' worth of state.
+
+    The caller's half lives in the same process, so it is measured alone first and subtracted.
+    """
+    login = TargetCredentials(KEY_ID, KEY)
+    link = _link_to(server.port, login)
+    warm = await _open_callers(link, 2)
+    gc.collect()
+    tracemalloc.start()
+    before_bytes, _ = tracemalloc.get_traced_memory()
+    callers = await _open_callers(link, count)
+    for caller in callers:
+        await caller.execute(STATEMENT)
+    gc.collect()
+    snapshot = tracemalloc.take_snapshot()
+    after_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    caller_bytes = sum(
+        trace.size
+        for trace in snapshot.traces
+        if any(
+            "asyncmy" in frame.filename or "targets/" in frame.filename for frame in trace.traceback
+        )
+    )
+    for caller in [*warm, *callers]:
+        await caller.close()
+    return (after_bytes - before_bytes - caller_bytes) / count / 1024
+
+
+async def measure_speed(
+    make_gateway: GatewayFactory = start_pass_through,
+    callers: int = 8,
+    statements: int = 1000,
+    rounds: int = 5,
+    idle_connections: int = 200,
+) -> SpeedFigures:
+    """Measure the rate through the callers' server relative to a direct connection.
+
+    :param make_gateway: builds the gateway from a link to the target and a connection limit.
+    :param callers: concurrent callers.
+    :param statements: statements of each caller in a round.
+    :param rounds: measured rounds after one that is not counted.
+    :param idle_connections: connections opened for the memory figure.
+    """
+    engine = _FixedEngine()
+    target = MysqlTargetServer(engine, engine, (TARGET,), _LOGIN)
+    await target.start(_HOST)
+    direct_link = _link_to(target.port_of(TARGET), TargetCredentials(*_LOGIN))
+    gateway = make_gateway(direct_link, callers)
+    server = CallerServer(gateway)
+    await server.start(_HOST, 0)
+    try:
+        direct = await _open_callers(direct_link, callers)
+        proxied = await _open_callers(
+            _link_to(server.port, TargetCredentials(KEY_ID, KEY)), callers
+        )
+        rates: list[tuple[float, float]] = []
+        for _ in range(rounds + 1):
+            rates.append((await _rate(direct, statements), await _rate(proxied, statements)))
+        for caller in [*direct, *proxied]:
+            await caller.close()
+        idle_kb = await _idle_connection_kb(server, idle_connections)
+    finally:
+        await server.stop(0.0)
+        await gateway.stop(0.0)
+        await target.stop()
+    counted = rates[1:]
+    return SpeedFigures(
+        direct_per_s=statistics.median(direct_rate for direct_rate, _ in counted),
+        proxied_per_s=statistics.median(proxied_rate for _, proxied_rate in counted),
+        ratio=statistics.median(proxied / direct for direct, proxied in counted),
+        idle_connection_kb=idle_kb,
+    )
+
+
+def main() -> None:
+    """Print one run."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--callers", type=int, default=8)
+    parser.add_argument("--statements", type=int, default=1000)
+    parser.add_argument("--rounds", type=int, default=5)
+    arguments = parser.parse_args()
+    figures = asyncio.run(
+        measure_speed(
+            callers=arguments.callers, statements=arguments.statements, rounds=arguments.rounds
+        )
+    )
+    print(f"direct      {figures.direct_per_s:10.0f} statements/s")
+    print(f"proxied     {figures.proxied_per_s:10.0f} statements/s")
+    print(f"ratio       {figures.ratio:10.3f}")
+    print(f"idle caller {figures.idle_connection_kb:10.1f} KB")
+
+
+if __name__ == "__main__":
+    main()
--- a/libs/proxy/src/pistachiowinch/proxy/connection.py
+++ b/libs/proxy/src/pistachiowinch/proxy/connection.py
@@ -34,7 +34,13 @@
     PacketTooLarge,
     ReadInterrupted,
 )
-from pistachiowinch.proxy.wire import answer_packets, end_packet, error_packet, ok_packet
+from pistachiowinch.proxy.wire import (
+    answer_packets,
+    end_packet,
+    error_packet,
+    ok_packet,
+    unchanged_rows,
+)
 
 __all__ = ["CAPABILITIES", "LOGIN_LIMIT_S", "CallerConnection", "CallerSession"]
 
@@ -301,6 +307,11 @@
             self.stream.write_many((error_packet(outcome.failure()),))
             return
         answer = outcome.unwrap()
+        rows = None if is_binary else unchanged_rows(answer, self._is_eof_deprecated)
+        if rows is not None and self.stream.seq == 1:
+            end = end_packet(answer, self.runner.status, self._is_eof_deprecated)
+            await self.stream.write_frames(rows.head, rows.frames, rows.next_seq, end)
+            return
         try:
             encoded = answer_packets(answer, self.runner.status, self._is_eof_deprecated, is_binary)
         except (ValueError, struct.error) as error:
--- a/libs/proxy/src/pistachiowinch/proxy/stream.py
+++ b/libs/proxy/src/pistachiowinch/proxy/stream.py
@@ -218,6 +218,34 @@
         if self._writer is not None or self._is_closed:
             await self.drain()
 
+    async def write_frames(self, head: bytes, frames: bytes, next_seq: int, end: bytes) -> None:
+        """Write an answer whose packets have their headers already.
+
+        :param head: packets before the rows, numbered from 1.
+        :param frames: row packets.
+        :param next_seq: number of the last packet.
+        :param end: payload of the last packet.
+        :raises ConnectionClosed: if the caller is gone or does not read.
+        """
+        last = (len(end) | next_seq << 24).to_bytes(4, "little") + end
+        self.seq = (next_seq + 1) & 0xFF
+        if self._is_closed:
+            raise ConnectionClosed
+        if len(frames) <= _CHUNK_BYTES:
+            self._transport.write(head + frames + last)
+        else:
+            await self._write_chunks(head, frames)
+            self._transport.write(last)
+        if self._writer is not None:
+            await self.drain()
+
+    async def _write_chunks(self, head: bytes, frames: bytes) -> None:
+        self._transport.write(head)
+        view = memoryview(frames)
+        for start in range(0, len(frames), _CHUNK_BYTES):
+            self._transport.write(view[start : start + _CHUNK_BYTES])
+            await self.drain()
+
     async def write(self, data: bytes, drain: bool = True) -> None:
         """Write one packet.
 
--- a/libs/proxy/src/pistachiowinch/proxy/wire.py
+++ b/libs/proxy/src/pistachiowinch/proxy/wire.py
@@ -21,12 +21,14 @@
     "end_packet",
     "error_packet",
     "ok_packet",
+    "unchanged_rows",
 ]
 
 STATUS_IN_TRANSACTION = 0x0001
 STATUS_AUTOCOMMIT = 0x0002
 
 _UNSIGNED = 0x20
+_TWO_NUMBERS = struct.Struct("<HH")
 _MAX_ERROR_CHARS = 512
 _INTEGER_FORMATS = {1: "bB", 2: "hH", 3: "iI", 8: "qQ", 9: "iI", 13: "hH"}
 _FLOAT_FORMATS = {4: "<f", 5: "<d"}
@@ -88,8 +90,10 @@
 
 
 def _result_fields(answer: Answer, status: int) -> bytes:
+    if not answer.affected_rows and not answer.last_insert_id:
+        return b"\x00\x00" + _TWO_NUMBERS.pack(status, answer.warnings)
     counts = encode_length(answer.affected_rows) + encode_length(answer.last_insert_id)
-    return counts + struct.pack("<HH", status, answer.warnings)
+    return counts + _TWO_NUMBERS.pack(status, answer.warnings)
 
 
 def end_packet(answer: Answer, status: int, is_eof_deprecated: bool) -> bytes:
@@ -138,13 +142,25 @@
     if is_binary:
         packets += _binary_rows(answer)
     elif isinstance(answer.rows, TextRows):
-        packets += answer.rows.payloads
+        packets += answer.rows.payloads()
     else:
         packets += map(_text_row, answer.rows)
     packets.append(end_packet(answer, status, is_eof_deprecated))
     return packets
 
 
+def unchanged_rows(answer: Answer, is_eof_deprecated: bool) -> TextRows | None:
+    """Return an answer's rows if their packets can be sent as they are.
+
+    :param answer: the answer.
+    :param is_eof_deprecated: whether the caller expects an OK packet instead of EOF packets.
+    """
+    rows = answer.rows
+    if type(rows) is TextRows and rows.is_eof_deprecated == is_eof_deprecated:
+        return rows
+    return None
+
+
 def _value_text(value: Any) -> bytes | None:
     match value:
         case None:
--- a/libs/targets/src/pistachiowinch/targets/link.py
+++ b/libs/targets/src/pistachiowinch/targets/link.py
@@ -71,16 +71,20 @@
     :param raw: a connection that is logged in.
     """
 
+    __slots__ = ("_exchange", "_is_busy", "_is_spoiled", "_raw")
+
     def __init__(self, raw: TextProtocolConnection) -> None:
         """Take over the connection."""
+        # Kept because the login's object closes the socket when it is collected.
         self._raw = raw
+        self._exchange = raw.hand_over()
         self._is_busy = False
         self._is_spoiled = False
 
     @property
     def is_usable(self) -> bool:
         """Whether another statement may be sent."""
-        return not self._is_busy and not self._is_spoiled and self._raw.is_open
+        return not self._is_busy and not self._is_spoiled and self._exchange.is_open
 
     async def execute(self, text: str) -> ExecuteOutcome:
         """Send one statement and read its whole answer.
@@ -93,15 +97,15 @@
         """
         if self._is_busy or self._is_spoiled:
             raise RuntimeError("the connection is busy or spoiled")
-        if not self._raw.is_open:
+        if not self._exchange.is_open:
             self._is_spoiled = True
             return Lost(is_sent=False, reason="the target had closed the connection")
         self._is_busy = True
         self._is_spoiled = True
         try:
-            outcome = await self._raw.exchange(text)
+            outcome = await self._exchange.exchange(text)
         except _TRANSPORT_ERRORS as error:
-            self._raw.close()
+            self._exchange.close()
             return Lost(is_sent=True, reason=f"{type(error).__name__}: {error}")
         finally:
             self._is_busy = False
@@ -111,7 +115,7 @@
     async def close(self) -> None:
         """Close the connection without waiting for the target."""
         self._is_spoiled = True
-        self._raw.close()
+        self._exchange.close()
 
 
 class MysqlTargetLink:
--- a/libs/targets/src/pistachiowinch/targets/pool.py
+++ b/libs/targets/src/pistachiowinch/targets/pool.py
@@ -109,6 +109,11 @@
         # An expired timeout would not interrupt the path that never waits.
         if deadline_s <= now_s():
             return Failure(Refusal(DEADLINE_PASSED, detail))
+        # The usual case needs no timeout, which costs as much as the rest of this method.
+        if self._idle and not self._is_draining:
+            connection = self._take_idle()
+            if connection is not None:
+                return Success(connection)
         try:
             async with asyncio.timeout_at(deadline_s):
                 return await self._acquire()
--- a/libs/targets/src/pistachiowinch/targets/rows.py
+++ b/libs/targets/src/pistachiowinch/targets/rows.py
@@ -10,8 +10,18 @@
 
 from pistachiowinch.links.targets import Column
 
-__all__ = ["NULL_MARK", "TextRows", "read_length_encoded", "split_row"]
-
+__all__ = [
+    "HEADER_BYTES",
+    "MAX_FRAME_BYTES",
+    "NULL_MARK",
+    "TextRows",
+    "read_length_encoded",
+    "split_frames",
+    "split_row",
+]
+
+HEADER_BYTES = 4
+MAX_FRAME_BYTES = 0xFFFFFF
 NULL_MARK = 0xFB
 
 _BINARY_CHARSET = 63
@@ -95,33 +105,73 @@
     return _decode_text
 
 
+def split_frames(frames: bytes) -> Iterator[bytes]:
+    """Yield the payloads of packets.
+
+    :param frames: complete packets with their headers.
+    """
+    offset = 0
+    parts: list[bytes] = []
+    while offset < len(frames):
+        length_bytes = int.from_bytes(frames[offset : offset + 3], "little")
+        start = offset + HEADER_BYTES
+        offset = start + length_bytes
+        parts.append(frames[start:offset])
+        if length_bytes < MAX_FRAME_BYTES:
+            yield b"".join(parts)
+            parts = []
+
+
 class TextRows(Sequence[tuple[Any, ...]]):
     """Rows of one result set. Reading a row decodes it by the types of the columns.
 
+    The packets are numbered from 1, as in every answer, so that a caller whose protocol version
+    equals the target's can be sent ``head`` and ``frames`` unchanged.
+
     :param columns: the result set's columns.
-    :param payloads: row packets without headers.
+    :param head: packets before the first row: the column count, the columns, and an EOF packet
+        unless that is deprecated.
+    :param frames: row packets with their headers.
+    :param row_count: number of rows.
+    :param next_seq: number of the packet after the last row.
+    :param is_eof_deprecated: whether the target's connection does without EOF packets.
     """
 
-    __slots__ = ("columns", "payloads")
-
-    def __init__(self, columns: tuple[Column, ...], payloads: tuple[bytes, ...]) -> None:
+    __slots__ = ("_row_count", "columns", "frames", "head", "is_eof_deprecated", "next_seq")
+
+    def __init__(
+        self,
+        columns: tuple[Column, ...],
+        head: bytes,
+        frames: bytes,
+        row_count: int,
+        next_seq: int,
+        is_eof_deprecated: bool,
+    ) -> None:
         """Keep the packets undecoded."""
         self.columns = columns
-        self.payloads = payloads
+        self.head = head
+        self.frames = frames
+        self._row_count = row_count
+        self.next_seq = next_seq
+        self.is_eof_deprecated = is_eof_deprecated
+
+    def payloads(self) -> Iterator[bytes]:
+        """Yield the row packets without their headers."""
+        return split_frames(self.frames)
 
     def texts(self) -> Iterator[list[bytes | None]]:
         """Yield the rows as text values."""
-        for payload in self.payloads:
+        for payload in self.payloads():
             yield split_row(payload, len(self.columns))
 
-    def _decode(self, payload: bytes) -> tuple[Any, ...]:
-        values = split_row(payload, len(self.columns))
+    def _decode(self, values: list[bytes | None]) -> tuple[Any, ...]:
         pairs = zip(self.columns, values, strict=True)
         return tuple(None if raw is None else _decoder(column)(raw) for column, raw in pairs)
 
     def __len__(self) -> int:
         """Return the number of rows."""
-        return len(self.payloads)
+        return self._row_count
 
     @overload
     def __getitem__(self, index: int) -> tuple[Any, ...]: ...
@@ -131,13 +181,14 @@
 
     def __getitem__(self, index: int | slice) -> Any:
         """Return one decoded row, or several."""
+        texts = list(self.texts())
         if isinstance(index, slice):
-            return tuple(self._decode(payload) for payload in self.payloads[index])
-        return self._decode(self.payloads[index])
+            return tuple(self._decode(values) for values in texts[index])
+        return self._decode(texts[index])
 
     def __iter__(self) -> Iterator[tuple[Any, ...]]:
         """Yield decoded rows."""
-        return (self._decode(payload) for payload in self.payloads)
+        return (self._decode(values) for values in self.texts())
 
     def __eq__(self, other: object) -> bool:
         """Compare decoded rows with those of another sequence."""
--- a/libs/targets/src/pistachiowinch/targets/text_protocol.py
+++ b/libs/targets/src/pistachiowinch/targets/text_protocol.py
@@ -1,31 +1,43 @@
-"""One text-protocol exchange over an ``asyncmy`` connection, keeping packets undecoded.
+"""Text-protocol exchanges over an ``asyncmy`` connection, keeping rows undecoded.
 
-``asyncmy`` performs connecting, login and packet framing. Its own result type drops SQLSTATEs and
-decodes every value, therefore answers are read packet by packet here.
+``asyncmy`` connects and logs in. Its result type drops SQLSTATEs and decodes every value, therefore
+the exchanges after the login are read here.
 """
 
+import asyncio
 import functools
 import struct
 
 from asyncmy.connection import Connection
-from asyncmy.protocol import MysqlPacket
 
 from pistachiowinch.links.targets import Answer, Column, Failed
-from pistachiowinch.targets.rows import TextRows, read_length_encoded
-
-__all__ = ["MAX_ANSWER_BYTES", "ProtocolError", "TextProtocolConnection", "parse_column"]
+from pistachiowinch.targets.rows import (
+    HEADER_BYTES,
+    MAX_FRAME_BYTES,
+    TextRows,
+    read_length_encoded,
+    split_frames,
+)
+
+__all__ = [
+    "MAX_ANSWER_BYTES",
+    "ProtocolError",
+    "TextExchange",
+    "TextProtocolConnection",
+    "parse_column",
+]
 
 # An answer is buffered until it is complete, because only a complete answer may reach a caller.
 # The limit keeps one statement from taking the memory of all others.
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 
-_COM_QUERY = 3
+_ERROR_MARK = 0xFF
 _OK_MARK = 0x00
 _EOF_MARK = 0xFE
 _LOCAL_FILE_MARK = 0xFB
-_MAX_PACKET_BYTES = 0xFFFFFF
 _IN_TRANSACTION = 0x0001
 _MORE_RESULTS = 0x0008
+_TWO_NUMBERS = struct.Struct("<HH")
 _SQLSTATE_BYTES = 5
 _UNKNOWN_SQLSTATE = "HY000"
 _COLUMN_TAIL = struct.Struct("<HIBHB")
@@ -36,22 +48,6 @@
     """The target sent something that is not a valid or supported answer."""
 
 
-class _ErrorPacketReceived(Exception):
-    """Carries an error packet out of ``asyncmy``'s packet reader."""
-
-    def __init__(self, payload: bytes) -> None:
-        super().__init__("error packet")
-        self.payload = payload
-
-
-class _AnswerPacket(MysqlPacket):
-    """Packet whose error keeps the SQLSTATE."""
-
-    def raise_for_error(self) -> None:
-        """Raise the error packet with its whole payload."""
-        raise _ErrorPacketReceived(self.get_all_data())
-
-
 def _parse_error(payload: bytes) -> Failed:
     errno = int.from_bytes(payload[1:3], "little")
     text = payload[3:]
@@ -114,67 +110,226 @@
     return answer, status
 
 
-def _parse_end_of_rows(payload: bytes, is_eof_deprecated: bool) -> tuple[int, int]:
-    if is_eof_deprecated:
-        answer, status = _parse_ok(payload)
-        return status, answer.warnings
-    warnings, status = struct.unpack_from("<HH", payload, 1)
-    return status, warnings
+# Which packet of an answer comes next. Plain numbers, because each packet is compared with them.
+_FIRST, _COLUMNS, _END_OF_COLUMNS, _ROWS = range(4)
 
 
-class TextProtocolConnection(Connection):
-    """``asyncmy`` connection with one additional command."""
+@functools.lru_cache(maxsize=1024)
+def _parse_columns(head: bytes, column_count: int) -> tuple[Column, ...]:
+    payloads = list(split_frames(head))
+    return tuple([parse_column(payload) for payload in payloads[1 : 1 + column_count]])
+
+
+class TextExchange(asyncio.Protocol):
+    """Sends statements and collects their answers on a connection that is logged in.
+
+    Packets are collected as they arrive instead of awaiting each one, which takes a third of the
+    time for a short answer.
+
+    :param transport: the connection.
+    :param is_eof_deprecated: whether result sets end with an OK packet.
+    """
+
+    def __init__(self, transport: asyncio.Transport, is_eof_deprecated: bool) -> None:
+        """Take over the connection from the protocol that logged in."""
+        self._transport = transport
+        self._is_eof_deprecated = is_eof_deprecated
+        self._waiter: asyncio.Future[Answer | Failed] | None = None
+        self._is_lost = False
+        self._reset()
+        transport.set_protocol(self)
+
+    def _reset(self) -> None:
+        self._rest = bytearray()
+        self._needed_bytes = 0
+        self._seq = 1
+        self._stage = _FIRST
+        self._columns_left = 0
+        self._column_count = 0
+        self._is_continued = False
+        self._head = b""
+        self._chunks: list[bytes] = []
+        self._row_count = 0
+        self._size_bytes = 0
 
     @property
     def is_open(self) -> bool:
         """Whether both sides keep the TCP connection open, as far as this side has heard."""
-        return self.connected and self._transport is not None and not self._transport.is_closing()
+        return not self._is_lost and not self._transport.is_closing()
 
-    async def _read(self) -> bytes:
-        packet = await self.read_packet(_AnswerPacket)
-        return packet.get_all_data()
+    def close(self) -> None:
+        """Close without waiting for the target."""
+        self._transport.abort()
 
     async def exchange(self, text: str) -> Answer | Failed:
-        """Send one statement and read its whole answer.
+        """Send one statement and wait for its whole answer.
 
         :param text: the statement.
         :raises ProtocolError: if the answer is not understood, too large, or has several results.
+        :raises OSError: if the connection breaks.
         """
-        await self._execute_command(_COM_QUERY, text.encode("utf-8", "surrogateescape"))
+        payload = b"\x03" + text.encode("utf-8", "surrogateescape")
+        if len(payload) >= MAX_FRAME_BYTES:
+            raise ProtocolError("the statement does not fit into one packet")
+        self._reset()
+        self._waiter = asyncio.get_running_loop().create_future()
+        self._transport.write(len(payload).to_bytes(4, "little") + payload)
         try:
-            first = await self._read()
-            if first[0] == _OK_MARK:
-                answer, status = _parse_ok(first)
-            elif first[0] == _LOCAL_FILE_MARK:
-                raise ProtocolError("the target asked for a local file")
-            else:
-                answer, status = await self._read_result_set(first)
-        except _ErrorPacketReceived as error:
-            return _parse_error(error.payload)
-        if status & _MORE_RESULTS:
-            raise ProtocolError("the statement has several results")
-        return answer
-
-    async def _read_result_set(self, first: bytes) -> tuple[Answer, int]:
-        column_count, _ = read_length_encoded(first, 0)
-        columns = tuple([parse_column(await self._read()) for _ in range(column_count)])
-        if not self._deprecate_eof:
-            await self._read()
-        payloads: list[bytes] = []
-        size_bytes = 0
-        while True:
-            payload = await self._read()
-            if payload[0] == _EOF_MARK and len(payload) < _MAX_PACKET_BYTES:
+            return await self._waiter
+        finally:
+            self._waiter = None
+
+    def data_received(self, data: bytes) -> None:
+        """Collect a part of the answer."""
+        waiter = self._waiter
+        if waiter is None or waiter.done():
+            # Nobody waits for these bytes. The next answer could not be told from them.
+            self._is_lost = True
+            self._transport.abort()
+            return
+        try:
+            answer = self._collect(data)
+        except (ProtocolError, ValueError, IndexError, struct.error) as error:
+            waiter.set_exception(ProtocolError(str(error)))
+            return
+        if answer is not None:
+            waiter.set_result(answer)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail the exchange that is under way."""
+        self._is_lost = True
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_exception(ConnectionResetError("the target closed the connection"))
+
+    def _collect(self, data: bytes) -> Answer | Failed | None:
+        if self._rest:
+            self._rest += data
+            if len(self._rest) < self._needed_bytes:
+                return None
+            data = bytes(self._rest)
+            self._rest.clear()
+        offset = 0
+        kept = 0
+        size_bytes = len(data)
+        seq = self._seq
+        while size_bytes - offset >= HEADER_BYTES:
+            length_bytes = data[offset] | data[offset + 1] << 8 | data[offset + 2] << 16
+            end = offset + HEADER_BYTES + length_bytes
+            if end > size_bytes:
                 break
-            size_bytes += len(payload)
-            if size_bytes > MAX_ANSWER_BYTES:
-                raise ProtocolError(f"the answer is larger than {MAX_ANSWER_BYTES} bytes")
-            payloads.append(payload)
-        status, warnings = _parse_end_of_rows(payload, self._deprecate_eof)
-        answer = Answer(
-            columns=columns,
-            rows=TextRows(columns, tuple(payloads)),
-            warnings=warnings,
-            is_in_transaction=bool(status & _IN_TRANSACTION),
+            if data[offset + 3] != seq:
+                raise ProtocolError("a packet's number is wrong")
+            seq = (seq + 1) & 0xFF
+            if self._stage == _ROWS:
+                if not self._is_continued:
+                    mark = data[offset + HEADER_BYTES] if length_bytes else 0
+                    if mark >= _EOF_MARK and (
+                        mark == _ERROR_MARK or length_bytes < MAX_FRAME_BYTES
+                    ):
+                        self._chunks.append(data[kept:offset])
+                        _check_end(end, size_bytes)
+                        self._seq = (seq - 1) & 0xFF
+                        return self._finish_rows(data[offset + HEADER_BYTES : end])
+                    self._row_count += 1
+                self._is_continued = length_bytes == MAX_FRAME_BYTES
+            else:
+                answer = self._take_before_rows(data[offset + HEADER_BYTES : end])
+                if answer is not None:
+                    _check_end(end, size_bytes)
+                    return answer
+                if self._stage == _ROWS:
+                    self._head = b"".join([*self._chunks, data[kept:end]])
+                    self._chunks = []
+                    kept = end
+            offset = end
+        self._seq = seq
+        self._keep(data, kept, offset)
+        return None
+
+    def _keep(self, data: bytes, kept: int, offset: int) -> None:
+        """Keep complete packets as they are and the beginning of the next one apart."""
+        if offset > kept:
+            self._chunks.append(data[kept:offset])
+        self._size_bytes += offset
+        self._needed_bytes = HEADER_BYTES
+        self._rest += data[offset:]
+        if len(self._rest) >= HEADER_BYTES:
+            self._needed_bytes += int.from_bytes(self._rest[:3], "little")
+        if self._size_bytes + self._needed_bytes > MAX_ANSWER_BYTES:
+            raise ProtocolError(f"the answer is larger than {MAX_ANSWER_BYTES} bytes")
+
+    def _take_before_rows(self, payload: bytes) -> Answer | Failed | None:
+        if self._stage == _FIRST:
+            return self._take_first(payload)
+        if self._stage == _END_OF_COLUMNS:
+            self._stage = _ROWS
+            return None
+        self._columns_left -= 1
+        if self._columns_left == 0:
+            self._stage = _ROWS if self._is_eof_deprecated else _END_OF_COLUMNS
+        return None
+
+    def _take_first(self, payload: bytes) -> Answer | Failed | None:
+        mark = payload[0]
+        if mark == _OK_MARK:
+            answer, status = _parse_ok(payload)
+            _check_single(status)
+            return answer
+        if mark == _ERROR_MARK:
+            return _parse_error(payload)
+        if mark == _LOCAL_FILE_MARK:
+            raise ProtocolError("the target asked for a local file")
+        self._column_count, _ = read_length_encoded(payload, 0)
+        self._columns_left = self._column_count
+        self._stage = _COLUMNS
+        return None
+
+    def _finish_rows(self, payload: bytes) -> Answer | Failed:
+        if payload[0] == _ERROR_MARK:
+            return _parse_error(payload)
+        warnings, status = _parse_end(payload, self._is_eof_deprecated)
+        _check_single(status)
+        columns = _parse_columns(self._head, self._column_count)
+        chunks = self._chunks
+        frames = chunks[0] if len(chunks) == 1 else b"".join(chunks)
+        rows = TextRows(
+            columns, self._head, frames, self._row_count, self._seq, self._is_eof_deprecated
         )
-        return answer, status
+        is_in_transaction = bool(status & _IN_TRANSACTION)
+        return Answer(columns, rows, 0, 0, warnings, is_in_transaction)
+
+
+def _check_end(end: int, size_bytes: int) -> None:
+    if end != size_bytes:
+        raise ProtocolError("bytes follow the answer")
+
+
+def _parse_end(payload: bytes, is_eof_deprecated: bool) -> tuple[int, int]:
+    if is_eof_deprecated:
+        # Affected rows and last insert id of a result set are always one zero byte each.
+        if payload[1:3] == b"\x00\x00":
+            status, warnings = _TWO_NUMBERS.unpack_from(payload, 3)
+        else:
+            answer, status = _parse_ok(payload)
+            warnings = answer.warnings
+        return warnings, status
+    warnings, status = _TWO_NUMBERS.unpack_from(payload, 1)
+    return warnings, status
+
+
+def _check_single(status: int) -> None:
+    if status & _MORE_RESULTS:
+        raise ProtocolError("the statement has several results")
+
+
+class TextProtocolConnection(Connection):
+    """``asyncmy`` connection that hands its transport over after the login."""
+
+    def hand_over(self) -> TextExchange:
+        """Return the exchange that uses the connection from now on.
+
+        :raises ProtocolError: if the connection is not open.
+        """
+        if not self.connected or self._transport is None:
+            raise ProtocolError("the connection is not open")
+        return TextExchange(self._transport, bool(self._deprecate_eof))
