Measure the statement rate with a plain driver as caller

Cause: callers that use this library's own fast connections hide what a driver sees. Change: speed.py uses asyncmy cursors; idle memory is counted without the caller's half.

--- a/libs/measure/src/pistachiowinch/measure/speed.py
+++ b/libs/measure/src/pistachiowinch/measure/speed.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from asyncmy.connection import Connection
 from reactivex import Observable
 from reactivex.subject import Subject
 from returns.result import Failure, Result, Success
@@ -52,6 +53,7 @@
 _HOST = "127.0.0.1"
 _LOGIN = Login("product", "product-password")
 _DEADLINE_S = 5.0
+_TRACED_FRAMES = 30
 _ANSWER = Answer(
     columns=(Column("id", 8, flags=0x21, length_bytes=20), Column("name", 253, length_bytes=160)),
     rows=((1, "cement mixer"),),
@@ -79,7 +81,7 @@
     is_usable = True
 
     async def execute(self, text: str) -> ExecuteOutcome:
-        return Answered(_ANSWER)
+        return Answered(Answer() if text.startswith("SET") else _ANSWER)
 
     async def close(self) -> None:
         """Nothing to close."""
@@ -177,50 +179,58 @@
     return MysqlTargetLink(lambda _: TargetAddress(_HOST, port), login, SERVICE)
 
 
-async def _open_callers(link: MysqlTargetLink, count: int) -> list[TargetConnection]:
-    return [await link.connect(TARGET) for _ in range(count)]
+async def _open_callers(port: int, login: TargetCredentials, count: int) -> list[Connection]:
+    callers = [
+        Connection(
+            host=_HOST,
+            port=port,
+            user=login.user,
+            password=login.password,
+            db=SERVICE,
+            # Without autocommit each read would open a transaction.
+            autocommit=True,
+        )
+        for _ in range(count)
+    ]
+    for caller in callers:
+        await caller.connect()
+    return callers
 
 
-async def _rate(callers: list[TargetConnection], statements: int) -> float:
-    async def run(caller: TargetConnection) -> None:
+async def _rate(callers: list[Connection], statements: int) -> float:
+    async def run(caller: Connection) -> None:
+        cursor = caller.cursor()
         for _ in range(statements):
-            outcome = await caller.execute(STATEMENT)
-            if not isinstance(outcome, Answered) or len(outcome.answer.rows) != 1:
-                raise RuntimeError(f"a statement was not answered: {outcome}")
+            await cursor.execute(STATEMENT)
+            rows = await cursor.fetchall()
+            if len(rows) != 1:
+                raise RuntimeError(f"a statement was answered with {len(rows)} rows")
 
     started_s = time.perf_counter()
     await asyncio.gather(*(run(caller) for caller in callers))
     return len(callers) * statements / (time.perf_counter() - started_s)
 
 
-async def _idle_connection_kb(server: CallerServer, count: int) -> float:
-    """Measure the server's memory for idle callers. The callers are plain sockets' worth of state.
+def _is_of_caller(trace: tracemalloc.Trace) -> bool:
+    files = [frame.filename for frame in trace.traceback]
+    is_from_here = any(name == __file__ for name in files)
+    return is_from_here and not any("pistachiowinch/proxy/" in name for name in files)
 
-    The caller's half lives in the same process, so it is measured alone first and subtracted.
-    """
+
+async def _idle_connection_kb(server: CallerServer, count: int) -> float:
+    """Measure the server's Python memory for idle callers, without their own half."""
     login = TargetCredentials(KEY_ID, KEY)
-    link = _link_to(server.port, login)
-    warm = await _open_callers(link, 2)
+    warm = await _open_callers(server.port, login, 2)
     gc.collect()
-    tracemalloc.start()
-    before_bytes, _ = tracemalloc.get_traced_memory()
-    callers = await _open_callers(link, count)
-    for caller in callers:
-        await caller.execute(STATEMENT)
+    tracemalloc.start(_TRACED_FRAMES)
+    callers = await _open_callers(server.port, login, count)
+    await _rate(callers, 1)
     gc.collect()
-    snapshot = tracemalloc.take_snapshot()
-    after_bytes, _ = tracemalloc.get_traced_memory()
+    traces = tracemalloc.take_snapshot().traces
     tracemalloc.stop()
-    caller_bytes = sum(
-        trace.size
-        for trace in snapshot.traces
-        if any(
-            "asyncmy" in frame.filename or "targets/" in frame.filename for frame in trace.traceback
-        )
-    )
     for caller in [*warm, *callers]:
-        await caller.close()
-    return (after_bytes - before_bytes - caller_bytes) / count / 1024
+        caller.close()
+    return sum(trace.size for trace in traces if not _is_of_caller(trace)) / count / 1024
 
 
 async def measure_speed(
@@ -246,15 +256,15 @@
     server = CallerServer(gateway)
     await server.start(_HOST, 0)
     try:
-        direct = await _open_callers(direct_link, callers)
-        proxied = await _open_callers(
-            _link_to(server.port, TargetCredentials(KEY_ID, KEY)), callers
-        )
+        product_login = TargetCredentials(*_LOGIN)
+        direct = await _open_callers(target.port_of(TARGET), product_login, callers)
+        caller_login = TargetCredentials(KEY_ID, KEY)
+        proxied = await _open_callers(server.port, caller_login, callers)
         rates: list[tuple[float, float]] = []
         for _ in range(rounds + 1):
             rates.append((await _rate(direct, statements), await _rate(proxied, statements)))
         for caller in [*direct, *proxied]:
-            await caller.close()
+            caller.close()
         idle_kb = await _idle_connection_kb(server, idle_connections)
     finally:
         await server.stop(0.0)
