Test both MySQL edges

Cause: the edges had no tests. Change: tests for pools, answers, orders, classification, settings, prepared statements, logins, bad input, sessions, stopping and the stand-in's faults. They found that SET PASSWORD would have changed the product's own account and that the stand-in answered instead of cutting. Conclusion: long statements still block the loop while they are classified.

--- a/libs/proxy/src/pistachiowinch/proxy/settings.py
+++ b/libs/proxy/src/pistachiowinch/proxy/settings.py
@@ -41,8 +41,10 @@
 _CHARSET_VARIABLES = frozenset(
     {"character_set_client", "character_set_connection", "character_set_results"}
 )
-# They change how the log is written or how statements are read, for more than this session.
-_REFUSED_VARIABLES = frozenset({"sql_log_bin", "sql_log_off", "gtid_next", "binlog_format"})
+# They change the log or, for the password, the product's own account at the target.
+_REFUSED_VARIABLES = frozenset(
+    {"sql_log_bin", "sql_log_off", "gtid_next", "binlog_format", "password"}
+)
 # They change where strings and names end, which the classification relies on.
 _REFUSED_MODES = ("ANSI", "NO_BACKSLASH_ESCAPES", "ORACLE", "DB2", "MSSQL", "MAXDB", "POSTGRESQL")
 
--- a/libs/standins/src/pistachiowinch/standins/mysql_server.py
+++ b/libs/standins/src/pistachiowinch/standins/mysql_server.py
@@ -142,12 +142,15 @@
             case Failed():
                 encoded = [error_packet(outcome)]
             case Lost():
-                raise ConnectionClosed
+                # An exception would make the library send an error, which is an answer.
+                self.stream.writer.transport.abort()
+                return
         if self._port.faults.is_cutting_answers:
             half = len(encoded) // 2
             self.stream.write_many(encoded[:half])
             await self.stream.drain()
-            raise ConnectionClosed
+            self.stream.writer.close()
+            return
         self.stream.write_many(encoded)
         await self.stream.drain()
 
--- /dev/null
+++ b/tests/proxy/edge_support.py
@@ -0,0 +1,185 @@
+"""Fake gateway and a raw MySQL client for the tests of the callers' side."""
+
+import asyncio
+import hashlib
+import struct
+
+from reactivex.subject import Subject
+from returns.result import Failure, Success
+
+from pistachiowinch.base.codes import BAD_KEY, UNKNOWN_SERVICE, Refusal
+from pistachiowinch.links.targets import Answer, Column, Failed
+from pistachiowinch.proxy.interfaces import Credentials
+from pistachiowinch.proxy.login import hash_password
+from pistachiowinch.routing.session import PinnedTransaction, Session
+from pistachiowinch.routing.statements import StatementKind
+
+KEYS = {"key-1": "secret-1", "key-2": "secret-2"}
+SERVICES = {"hire": ("key-1", "key-2"), "stock": ("key-1",), "public": ("", "key-1")}
+ROW = Answer(columns=(Column("n", 8, flags=0x21),), rows=((1,),))
+# LONG_PASSWORD, CONNECT_WITH_DB, PROTOCOL_41, TRANSACTIONS, SECURE_CONNECTION, PLUGIN_AUTH,
+# CONNECT_ATTRS, DEPRECATE_EOF
+CLIENT_FLAGS = 0x1 | 0x8 | 0x200 | 0x2000 | 0x8000 | 0x80000 | 0x100000 | 0x1000000
+
+
+class FakeGateway:
+    """Keeps what it was asked and answers from a table."""
+
+    def __init__(self):
+        """Start without sessions."""
+        self.sessions_ended = Subject()
+        self.statements = []
+        self.answers = {}
+        self.open_sessions = []
+        self.closed = []
+        self.resets = 0
+        self.gate = None
+
+    def credentials(self, key_id):
+        """Return the hash of a known key."""
+        password = KEYS.get(key_id)
+        return Credentials("customer", hash_password(password)) if password else None
+
+    async def open_session(self, key_id, service):
+        """Open a session where the key may."""
+        if service not in SERVICES:
+            return Failure(Refusal(UNKNOWN_SERVICE, "no such service"))
+        if key_id not in SERVICES[service]:
+            return Failure(Refusal(BAD_KEY, "the key does not open this service"))
+        session = Session(key_id, "customer", service)
+        self.open_sessions.append(session)
+        return Success(session)
+
+    async def execute(self, session, statement):
+        """Answer from the table, keeping track of the transaction."""
+        self.statements.append(statement)
+        if self.gate is not None:
+            await self.gate.wait()
+        if statement.kind is StatementKind.BEGIN:
+            session.pinned = PinnedTransaction(None, "t", 1)
+            session.pinned.is_open = True
+        if statement.kind in (StatementKind.COMMIT, StatementKind.ROLLBACK):
+            session.pinned = None
+        is_select = statement.text.upper().startswith(("SELECT", "SHOW"))
+        result = self.answers.get(statement.text, ROW if is_select else Answer())
+        if isinstance(result, Exception):
+            raise result
+        return Failure(result) if isinstance(result, Failed | Refusal) else Success(result)
+
+    async def reset_session(self, session):
+        """Roll back."""
+        session.pinned = None
+        self.resets += 1
+
+    async def close_session(self, session):
+        """Forget a session."""
+        self.open_sessions.remove(session)
+        self.closed.append(session)
+
+    async def stop(self, grace_s):
+        """Nothing runs."""
+
+    def texts(self):
+        """Return the statements' texts."""
+        return [statement.text for statement in self.statements]
+
+    def end(self, session, refusal):
+        """End a session."""
+        session.ended = refusal
+        self.sessions_ended.on_next(session)
+
+
+def scramble(password, nonce):
+    if not password:
+        return b""
+    inner = hashlib.sha1(password.encode()).digest()
+    mask = hashlib.sha1(nonce + hashlib.sha1(inner).digest()).digest()
+    return bytes(left ^ right for left, right in zip(inner, mask, strict=True))
+
+
+def sized(raw):
+    return bytes([len(raw)]) + raw
+
+
+class RawClient:
+    """MySQL client that may also send malformed packets."""
+
+    def __init__(self, reader, writer):
+        """Keep the streams."""
+        self.reader = reader
+        self.writer = writer
+        self.seq = 0
+        self.nonce = b""
+
+    @classmethod
+    async def connect(cls, port):
+        """Connect and read the greeting."""
+        client = cls(*await asyncio.open_connection("127.0.0.1", port))
+        greeting = await client.read()
+        if greeting[0] != 0xFF:
+            rest = greeting[greeting.index(b"\x00", 1) + 5 :]
+            client.nonce = rest[:8] + rest[8 + 19 : 8 + 19 + 12]
+        client.greeting = greeting
+        return client
+
+    def response(
+        self, user, password, database, plugin="mysql_native_password", charset=45, attributes=None
+    ):
+        """Build a login packet."""
+        parts = [struct.pack("<IIB23x", CLIENT_FLAGS, 1 << 24, charset), user.encode() + b"\x00"]
+        parts += [sized(scramble(password, self.nonce)), database.encode() + b"\x00"]
+        pairs = b"".join(
+            sized(name.encode()) + sized(value.encode())
+            for name, value in (attributes or {}).items()
+        )
+        return b"".join([*parts, plugin.encode() + b"\x00", sized(pairs)])
+
+    async def log_in(self, user="key-1", password="secret-1", database="hire", **options):
+        """Log in and return the answer."""
+        self.write(self.response(user, password, database, **options))
+        return await self.read()
+
+    def write(self, payload, seq=None):
+        """Send one packet."""
+        number = self.seq if seq is None else seq
+        self.writer.write((len(payload) | number << 24).to_bytes(4, "little") + payload)
+
+    async def read(self):
+        """Read one packet; raise IncompleteReadError when the server closed."""
+        header = await self.reader.readexactly(4)
+        self.seq = header[3] + 1
+        return await self.reader.readexactly(int.from_bytes(header[:3], "little"))
+
+    async def command(self, payload):
+        """Send a command and read the first packet of the answer."""
+        self.write(payload, 0)
+        return await self.read()
+
+    async def query(self, text):
+        """Run a statement and read its packets up to the end."""
+        packets = [await self.command(b"\x03" + text.encode())]
+        if packets[0][0] in (0x00, 0xFF):
+            return packets
+        while packets[-1][0] != 0xFE and packets[-1][0] != 0xFF:
+            packets.append(await self.read())
+        return packets
+
+    async def is_closed(self):
+        """Tell whether the server closed the connection after its last packet."""
+        is_closed = await self.reader.read() == b""
+        self.close()
+        return is_closed
+
+    def close(self):
+        """Close."""
+        self.writer.close()
+
+
+def error_text(packet):
+    assert packet[0] == 0xFF, packet
+    return packet[9:].decode()
+
+
+def error_number(packet):
+    assert packet[0] == 0xFF, packet
+    return int.from_bytes(packet[1:3], "little")
