--- a/libs/gateway/src/pistachiowinch/gateway/gateway.py
+++ b/libs/gateway/src/pistachiowinch/gateway/gateway.py
@@ -11,7 +11,6 @@
 from pistachiowinch.base.codes import (
     HOST_STOPPING,
     INTERNAL,
-    TRANSACTION_ABORTED,
     UNKNOWN_SERVICE,
     ZONE_OUT,
     Refusal,
@@ -89,9 +88,7 @@
         self._use = TargetUse(self._settings.leaving_grace_s)
         self._use.update(configuration.current)
         self.admission = Admission(configuration, standing, availability_zone)
-        context = RunContext(
-            services, configuration, self._use, retries, metrics, self._settings
-        )
+        context = RunContext(services, configuration, self._use, retries, metrics, self._settings)
         outcomes = OutcomeResolver(context)
         self._reads = ReadPath(context)
         self._writes = WritePath(context, outcomes)
@@ -132,16 +129,6 @@
         self._metrics.sessions.set(len(self._sessions))
         return Success(session)
 
-    async def name_session(self, session: Session, name: str) -> None:
-        """Give a session the name under which other hosts may know its writes.
-
-        :param session: the caller's session.
-        :param name: the caller's name for it.
-        """
-        session.name = name
-        if session.token is None:
-            await self._names.recover(session)
-
     async def execute(self, session: Session, statement: Statement) -> StatementResult:
         """Run one statement.
 
@@ -166,7 +153,9 @@
             session.is_busy = False
             if session.ended is not None:
                 await self._finish(session)
-        return self._counted(session, result)
+        if isinstance(result, Failure) and isinstance(result.failure(), Refusal):
+            return self._refused(result.failure())
+        return result
 
     async def reset_session(self, session: Session) -> None:
         """Roll back, drop connection state and settings; keep the token.
@@ -258,12 +247,20 @@
                 case Failure(refusal):
                     await self._transactions.abandon(session, parts)
                     return Failure(refusal)
+        if session.name != session.resolved_name:
+            await self._resolve_name(session)
         result = await self._route(session, statement, parts, deadline_s)
         if isinstance(result, Success):
             self._retries.record_success(session.customer)
             self._names.remember(session)
         return result
 
+    async def _resolve_name(self, session: Session) -> None:
+        """Find the writes that a session of this name made elsewhere."""
+        session.resolved_name = session.name
+        if session.name is not None and session.token is None:
+            await self._names.recover(session)
+
     async def _route(
         self, session: Session, statement: Statement, parts: ServiceParts, deadline_s: float
     ) -> StatementResult:
@@ -336,22 +333,16 @@
         committed = await self._transactions.commit(
             session, statement, parts, is_recorded, deadline_s
         )
-        return committed.map(lambda answer: written.unwrap()._replace(
-            is_in_transaction=False, term=answer.term, position=answer.position
-        ))
+        return committed.map(
+            lambda answer: written.unwrap()._replace(
+                is_in_transaction=False, term=answer.term, position=answer.position
+            )
+        )
 
     def _is_always_recorded(self, service: str) -> bool:
         entry = self._configuration.current.document["services"].get(service)
         return entry is not None and entry["ledger"] == "always"
 
-    def _counted(self, session: Session, result: StatementResult) -> StatementResult:
-        match result:
-            case Failure(Refusal() as refusal):
-                if refusal.code is TRANSACTION_ABORTED:
-                    session.pinned = None
-                return self._refused(refusal)
-        return result
-
     def _refused(self, refusal: Refusal) -> Failure[Refusal]:
         self._metrics.refusals.labels(reason=refusal.code.label).inc()
         return Failure(refusal)
--- a/libs/gateway/src/pistachiowinch/gateway/interfaces.py
+++ b/libs/gateway/src/pistachiowinch/gateway/interfaces.py
@@ -20,6 +20,7 @@
 __all__ = [
     "ConfirmsWrites",
     "DecidesOutcomes",
+    "GatesTransactions",
     "GrantsSlots",
     "GroupState",
     "LimitsRates",
@@ -130,12 +131,30 @@
         """Return a connection; one that is not clean is closed."""
 
 
+class GatesTransactions(Protocol):
+    """Holds new transactions back during a planned change of the primary."""
+
+    @property
+    def is_held(self) -> bool:
+        """Whether new transactions have to wait."""
+
+    async def enter(self, deadline_s: float) -> bool:
+        """Wait for the end of a hold, then count one transaction."""
+
+    def leave(self) -> None:
+        """Count one transaction less."""
+
+
 class GroupState(Protocol):
     """State of a service's group that concerns new work."""
 
     @property
-    def is_switching(self) -> bool:
-        """Whether a planned change of the primary holds new transactions back."""
+    def gate(self) -> GatesTransactions:
+        """Gate of this host's transactions on the primary."""
+
+    @property
+    def is_outvoted(self) -> bool:
+        """Whether only this host cannot reach the primary."""
 
 
 class ServiceParts(NamedTuple):
--- a/libs/gateway/src/pistachiowinch/gateway/outcomes.py
+++ b/libs/gateway/src/pistachiowinch/gateway/outcomes.py
@@ -1,22 +1,30 @@
 """Brings an interrupted write to a decided end."""
 
+from typing import NamedTuple
+
 from returns.result import Failure, Result, Success
 
 from pistachiowinch.base.clock import now_s
-from pistachiowinch.base.codes import OUTCOME_UNKNOWN, Refusal
+from pistachiowinch.base.codes import OUTCOME_UNKNOWN, REQUEST_ID_REUSED, Refusal
 from pistachiowinch.base.tokens import SessionToken
 from pistachiowinch.gateway.interfaces import ServiceParts
 from pistachiowinch.gateway.work import RunContext
 from pistachiowinch.groups.confirmation import Confirmed, Replaced, Unconfirmed
-from pistachiowinch.groups.ledger import LedgerEntry, NotRun, Ran, Reused, Undecided
+from pistachiowinch.groups.ledger import LedgerEntry, NotRan, RanBefore, Undecided
 from pistachiowinch.links.targets import Answer
 from pistachiowinch.routing.session import Session
 
 __all__ = ["DidNotRun", "OutcomeResolver"]
 
 
-class DidNotRun:
-    """The write did not run and never will; running it again is safe."""
+class DidNotRun(NamedTuple):
+    """The write did not run and never will; running it again is safe.
+
+    :param is_id_used: whether the ledger holds a cancelled row, so that another attempt needs
+        another entry.
+    """
+
+    is_id_used: bool = False
 
 
 class OutcomeResolver:
@@ -84,44 +92,19 @@
         outcome = type(decision).__name__.lower()
         self._context.metrics.ledger_lookups.labels(outcome=outcome).inc()
         match decision:
-            case Ran(answer, ran_term, position):
+            case RanBefore(is_same_request=False):
+                detail = "the request id was used for another statement"
+                return Failure(Refusal(REQUEST_ID_REUSED, detail))
+            case RanBefore(answer, ran_term, position, started_s):
+                if now_s() - started_s > self._context.settings.reconfirm_after_s:
+                    return await self.decide(session, parts, target, term, entry, deadline_s)
                 self._record(session, SessionToken(session.service, ran_term, position))
-                return Success(answer._replace(term=ran_term, position=position))
-            case NotRun():
-                return DidNotRun()
-            case Reused(refusal):
-                return Failure(refusal)
+                return Success(answer)
+            case NotRan(is_cancelled):
+                return DidNotRun(is_cancelled)
             case Undecided(reason):
                 return _unknown(f"the outcome could not be decided in time: {reason}")
 
-    async def find(
-        self,
-        session: Session,
-        parts: ServiceParts,
-        target: str,
-        term: int,
-        entry: LedgerEntry,
-        deadline_s: float,
-    ) -> Result[Answer, Refusal] | DidNotRun:
-        """Look for the stored answer of an earlier attempt without cancelling anything.
-
-        :param target: the target that refused this attempt.
-        :param term: its term before the attempt.
-        :param entry: the write's ledger entry.
-        :param deadline_s: loop time at which the outcome is reported as unknown.
-        :returns: the stored answer, or :class:`DidNotRun` if this attempt was the first.
-        """
-        match await parts.ledger.find(entry, deadline_s):
-            case Ran(answer, ran_term, position):
-                self._record(session, SessionToken(session.service, ran_term, position))
-                return Success(answer._replace(term=ran_term, position=position))
-            case Reused(refusal):
-                return Failure(refusal)
-            case Undecided(reason):
-                return _unknown(f"the ledger could not be read in time: {reason}")
-            case NotRun():
-                return DidNotRun()
-
     def _record(self, session: Session, token: SessionToken) -> None:
         session.advance_token(token)
         session.is_token_doubtful = False
--- a/libs/gateway/src/pistachiowinch/gateway/reads.py
+++ b/libs/gateway/src/pistachiowinch/gateway/reads.py
@@ -87,9 +87,7 @@
         """Prove for a session with a doubtful token that it read from the current primary."""
         if not session.is_token_doubtful:
             return True
-        confirmation = await held.parts.confirmer.confirm(
-            held.grant.target, held.term, deadline_s
-        )
+        confirmation = await held.parts.confirmer.confirm(held.grant.target, held.term, deadline_s)
         return isinstance(confirmation, Confirmed)
 
     async def _borrow(
--- a/libs/gateway/src/pistachiowinch/gateway/transactions.py
+++ b/libs/gateway/src/pistachiowinch/gateway/transactions.py
@@ -3,7 +3,7 @@
 from returns.result import Failure, Result, Success
 
 from pistachiowinch.base.clock import now_s
-from pistachiowinch.base.codes import OUTCOME_UNKNOWN, TRANSACTION_ABORTED, Refusal
+from pistachiowinch.base.codes import DEADLINE_PASSED, OUTCOME_UNKNOWN, TRANSACTION_ABORTED, Refusal
 from pistachiowinch.gateway.exchange import exchange
 from pistachiowinch.gateway.interfaces import ServiceParts
 from pistachiowinch.gateway.outcomes import DidNotRun, OutcomeResolver
@@ -40,6 +40,11 @@
         :param parts: the service's parts.
         :param deadline_s: loop time at which the attempt is given up as not run.
         """
+        if session.pinned is not None and not session.pinned.is_in_gate:
+            if not await parts.group.gate.enter(deadline_s):
+                detail = "a planned switch held the request back"
+                return Failure(Refusal(DEADLINE_PASSED, detail))
+            session.pinned.enter_gate(parts.group.gate.leave)
         result = await self._run_on_pin(session, statement, parts, deadline_s)
         if not isinstance(result, Success):
             return result
@@ -133,6 +138,7 @@
         if pinned is None:
             return
         session.pinned = None
+        pinned.leave_gate()
         pool = parts.pools.get(pinned.target) if parts is not None else None
         if pool is None:
             await pinned.connection.close()
@@ -151,7 +157,7 @@
             if not is_always_recorded:
                 return None
             request_id = new_request_id()
-        digest = statement_digest("\n".join(pinned.statement_texts))
+        digest = statement_digest(*pinned.statement_texts)
         return LedgerEntry(session.customer, request_id, digest)
 
     async def _commit_recorded(
@@ -213,6 +219,7 @@
         pinned.has_written = False
         pinned.request_id = None
         pinned.statement_texts = []
+        pinned.leave_gate()
         if pinned.has_state:
             return
         session.pinned = None
@@ -252,8 +259,7 @@
                 # The pinned target is no longer the primary, so its data may be discarded.
                 return await self._aborted(session, parts, "the primary was replaced")
             return await self._acquire_slot(session, parts, deadline_s)
-        may_use = self._context.primary_filter(session, parts)
-        borrowed = await self._context.borrow(session, parts, may_use, deadline_s)
+        borrowed = await self._context.borrow_primary(session, parts, deadline_s)
         return borrowed.map(lambda held: _pin_connection(session, held))
 
     async def _run_on_pin(
@@ -298,7 +304,9 @@
 
 
 def _pin_connection(session: Session, held: Borrowed) -> SlotGrant:
-    session.pinned = PinnedTransaction(held.connection, held.grant.target, held.term)
+    session.pinned = PinnedTransaction(
+        held.connection, held.grant.target, held.term, held.parts.group.gate.leave
+    )
     return held.grant
 
 
--- a/libs/gateway/src/pistachiowinch/gateway/work.py
+++ b/libs/gateway/src/pistachiowinch/gateway/work.py
@@ -6,7 +6,7 @@
 from returns.result import Failure, Result, Success
 
 from pistachiowinch.base.clock import now_s, sleep_s
-from pistachiowinch.base.codes import DEADLINE_PASSED, Refusal
+from pistachiowinch.base.codes import DEADLINE_PASSED, NO_PRIMARY, Refusal
 from pistachiowinch.base.metrics import Metrics
 from pistachiowinch.configuration.document import Configuration
 from pistachiowinch.gateway.interfaces import (
@@ -141,7 +141,7 @@
         service = session.service
 
         def may_use(target: str) -> bool:
-            if parts.group.is_switching or target != parts.tracker.primary:
+            if parts.group.gate.is_held or target != parts.tracker.primary:
                 return False
             if session.token is not None and session.token.term > parts.tracker.term:
                 # This host has not heard of the promotion that the session has seen.
@@ -167,9 +167,7 @@
         :param may_use: check of a target at the moment at which its slot is free.
         :param deadline_s: loop time at which the request is given up as not run.
         """
-        request = SlotRequest(
-            session.customer, self.weight(session.customer), deadline_s, may_use
-        )
+        request = SlotRequest(session.customer, self.weight(session.customer), deadline_s, may_use)
         while True:
             match await parts.scheduler.acquire(request):
                 case Success(grant):
@@ -185,6 +183,34 @@
                 return Failure(Refusal(DEADLINE_PASSED, "no target accepted a connection in time"))
             await sleep_s(self.settings.connect_backoff_s)
 
+    async def borrow_primary(
+        self, session: Session, parts: ServiceParts, deadline_s: float
+    ) -> Result[Borrowed, Refusal]:
+        """Borrow from the primary and enter its gate; the holder has to leave the gate.
+
+        :param session: the caller's session.
+        :param parts: the service's parts.
+        :param deadline_s: loop time at which the request is given up as not run.
+        """
+        if parts.group.is_outvoted:
+            detail = "this host cannot reach the primary and other hosts can"
+            return Failure(Refusal(NO_PRIMARY, detail))
+        may_use = self.primary_filter(session, parts)
+        match await self.borrow(session, parts, may_use, deadline_s):
+            case Success(held):
+                pass
+            case refused:
+                return refused
+        is_entered = False
+        try:
+            is_entered = await parts.group.gate.enter(deadline_s)
+        finally:
+            if not is_entered:
+                held.release(is_clean=True)
+        if not is_entered:
+            return Failure(Refusal(DEADLINE_PASSED, "a planned switch held the request back"))
+        return Success(held)
+
     async def _connect(
         self, parts: ServiceParts, grant: SlotGrant, deadline_s: float
     ) -> Result[Borrowed, Refusal]:
@@ -197,6 +223,4 @@
         finally:
             if not is_connected:
                 parts.scheduler.release(grant)
-        return connected.map(
-            lambda connection: Borrowed(parts, grant, pool, connection, term)
-        )
+        return connected.map(lambda connection: Borrowed(parts, grant, pool, connection, term))
--- a/libs/gateway/src/pistachiowinch/gateway/writes.py
+++ b/libs/gateway/src/pistachiowinch/gateway/writes.py
@@ -20,6 +20,8 @@
 __all__ = ["DUPLICATE_KEY_ERRNO", "WritePath", "new_request_id"]
 
 DUPLICATE_KEY_ERRNO = 1062
+# Callers' request ids cannot contain control characters, so derived names never collide with one.
+_ATTEMPT_SEPARATOR = "\x1f"
 
 
 class _Step(enum.Enum):
@@ -60,6 +62,20 @@
     return f"pw-{uuid.uuid4().hex}"
 
 
+def _next_entry(entry: LedgerEntry, number: int) -> LedgerEntry:
+    """Derive the entry of the attempt that follows a cancelled one.
+
+    Every host derives the same names, so a request id still takes effect at most once: an
+    attempt starts only after all earlier entries are finally cancelled.
+    """
+    base = entry.request_id.partition(_ATTEMPT_SEPARATOR)[0]
+    return entry._replace(request_id=f"{base}{_ATTEMPT_SEPARATOR}{number}")
+
+
+def _interrupted() -> Failure[Refusal]:
+    return Failure(Refusal(INTERRUPTED_NOT_RUN, "the target was lost during the write"))
+
+
 class WritePath:
     """Runs one write of one session."""
 
@@ -85,9 +101,9 @@
         :param deadline_s: loop time at which the write is given up.
         """
         entry = self._entry(session, statement, is_always_recorded)
+        entries = 1
         while True:
-            may_use = self._context.primary_filter(session, parts)
-            match await self._context.borrow(session, parts, may_use, deadline_s):
+            match await self._context.borrow_primary(session, parts, deadline_s):
                 case Success(held):
                     pass
                 case Failure(refusal):
@@ -96,10 +112,15 @@
             result = await self._settle(session, statement, held, attempt, entry, deadline_s)
             if not isinstance(result, DidNotRun):
                 return result
-            if now_s() >= deadline_s or not self._context.may_retry(
+            if now_s() >= deadline_s:
+                return _interrupted()
+            if not isinstance(attempt, _Duplicate) and not self._context.may_retry(
                 session.customer, "write_did_not_run"
             ):
-                return Failure(Refusal(INTERRUPTED_NOT_RUN, "the target was lost during the write"))
+                return _interrupted()
+            if result.is_id_used and entry is not None:
+                entry = _next_entry(entry, entries)
+                entries += 1
 
     def _entry(
         self, session: Session, statement: Statement, is_always_recorded: bool
@@ -130,15 +151,14 @@
             return attempt
         finally:
             held.release(is_clean)
+            held.parts.group.gate.leave()
 
     async def _exchange(self, held: Borrowed, text: str, deadline_s: float) -> ExecuteOutcome:
         remaining_s = deadline_s - now_s()
         timeout_s = min(self._context.settings.exchange_timeout_s, remaining_s)
         return await exchange(held.connection, text, timeout_s)
 
-    async def _run_bare(
-        self, held: Borrowed, statement: Statement, deadline_s: float
-    ) -> _Attempt:
+    async def _run_bare(self, held: Borrowed, statement: Statement, deadline_s: float) -> _Attempt:
         match await self._exchange(held, statement.text, deadline_s):
             case Answered(answer):
                 return _Done(answer)
@@ -181,9 +201,7 @@
                 step = _Step.COMMIT_SENT if is_sent else _Step.BEFORE_COMMIT
                 return _Interrupted(step, reason)
 
-    async def _roll_back(
-        self, held: Borrowed, attempt: _Attempt, deadline_s: float
-    ) -> _Attempt:
+    async def _roll_back(self, held: Borrowed, attempt: _Attempt, deadline_s: float) -> _Attempt:
         match await self._exchange(held, "ROLLBACK", max(deadline_s, now_s() + 0.1)):
             case Answered():
                 return attempt
@@ -207,9 +225,7 @@
                     session, parts, target, term, answer, entry, deadline_s
                 )
             case _Duplicate():
-                return await self._outcomes.decide(
-                    session, parts, target, term, entry, deadline_s
-                )
+                return await self._outcomes.decide(session, parts, target, term, entry, deadline_s)
             case _Refused(failed):
                 if entry is None or statement.request_id is None:
                     return Failure(failed)
@@ -236,9 +252,10 @@
     ) -> Result[Answer, Refusal | Failed]:
         """Prefer the stored answer of an earlier attempt to an error of this one.
 
-        A repeated INSERT fails on the row that its first attempt inserted.
+        A repeated INSERT fails on the row that its first attempt inserted. If there was no
+        earlier attempt, the decision leaves a cancelled entry and the error stands.
         """
-        found = await self._outcomes.find(
+        found = await self._outcomes.decide(
             session, held.parts, held.grant.target, held.term, entry, deadline_s
         )
         return Failure(failed) if isinstance(found, DidNotRun) else found
--- a/libs/model/src/pistachiowinch/model/checker.py
+++ b/libs/model/src/pistachiowinch/model/checker.py
@@ -153,11 +153,11 @@
 
     steps = []
     for index, (actions, flags) in enumerate(choices):
-        name = next(
-            action.name for action, flag in zip(actions, flags, strict=True) if value(flag)
-        )
+        name = next(action.name for action, flag in zip(actions, flags, strict=True) if value(flag))
         before, after = states[index], states[index + 1]
-        changes = {key: value(after[key]) for key in after if value(after[key]) != value(before[key])}
+        changes = {
+            key: value(after[key]) for key in after if value(after[key]) != value(before[key])
+        }
         steps.append(Step(name, changes))
     violated = tuple(key for key, holds in broken(states[-1]).items() if not value(holds))
     return Trace(violated, tuple(steps))
--- a/libs/model/src/pistachiowinch/model/escrow.py
+++ b/libs/model/src/pistachiowinch/model/escrow.py
@@ -43,7 +43,7 @@
 
     def __init__(self, removed: EscrowGuard | None = None) -> None:
         """Fix the guards."""
-        self._removed = removed
+        self.removed = removed
 
     @property
     def name(self) -> str:
@@ -77,9 +77,7 @@
         """All hosts use epoch 0 with fresh evidence."""
         values: dict[str, int | bool] = dict.fromkeys(self.variables(), 0)
         for name in values:
-            if name.startswith("asked"):
-                values[name] = _OLD
-            elif name.startswith("answer"):
+            if name.startswith("asked") or name.startswith("answer"):
                 values[name] = _OLD
         return values
 
@@ -109,7 +107,7 @@
         return {"the shares add up to at most the whole rate": z3.ULE(wide, _WHOLE)}
 
     def _has(self, guard: EscrowGuard) -> bool:
-        return guard is not self._removed
+        return guard is not self.removed
 
     def _own_part(self, host: int, epoch: z3.ExprRef) -> z3.ExprRef:
         part = z3.BitVecVal(0, _BITS)
@@ -190,9 +188,7 @@
             z3.And(state["store_epoch"] == epoch, z3.ULT(state[f"epoch{host}"], target)),
             {
                 f"epoch{host}": target,
-                "since_majority": z3.If(
-                    completes, z3.BitVecVal(0, _BITS), state["since_majority"]
-                ),
+                "since_majority": z3.If(completes, z3.BitVecVal(0, _BITS), state["since_majority"]),
             },
         )
 
@@ -202,9 +198,7 @@
         if self._has(EscrowGuard.MAJORITY_ADOPTED):
             conditions.append(self._adopted(state, epoch))
         if self._has(EscrowGuard.WAIT_BEFORE_ACTIVE):
-            conditions.append(
-                z3.UGT(state["since_majority"], z3.BitVecVal(_LIMIT_STEPS, _BITS))
-            )
+            conditions.append(z3.UGT(state["since_majority"], z3.BitVecVal(_LIMIT_STEPS, _BITS)))
         return Action(
             f"epoch becomes active at host {host}", z3.And(*conditions), {f"active{host}": epoch}
         )
--- a/libs/model/src/pistachiowinch/model/ledger.py
+++ b/libs/model/src/pistachiowinch/model/ledger.py
@@ -40,7 +40,7 @@
 
     def __init__(self, removed: LedgerGuard | None = None) -> None:
         """Fix the guards."""
-        self._removed = removed
+        self.removed = removed
 
     @property
     def name(self) -> str:
@@ -114,7 +114,7 @@
         }
 
     def _has(self, guard: LedgerGuard) -> bool:
-        return guard is not self._removed
+        return guard is not self.removed
 
     def _confirm(self, state: State) -> Action:
         return Action(
--- a/libs/model/src/pistachiowinch/model/promotion.py
+++ b/libs/model/src/pistachiowinch/model/promotion.py
@@ -48,7 +48,7 @@
         self, removed: PromotionGuard | None = None, terms: int = 3, positions: int = 2
     ) -> None:
         """Fix the scope."""
-        self._removed = removed
+        self.removed = removed
         self._terms = range(_FIRST_TERM, terms + 1)
         self._positions = range(positions)
 
@@ -143,7 +143,7 @@
         }
 
     def _has(self, guard: PromotionGuard) -> bool:
-        return guard is not self._removed
+        return guard is not self.removed
 
     def _length(self, state: State, target: int) -> z3.ExprRef:
         length = z3.BitVecVal(0, _BITS)
@@ -184,9 +184,7 @@
         for source in range(_TARGETS):
             if source == target:
                 continue
-            is_source = z3.And(
-                state[f"primary{term}"] == source, state[f"stream{source}"] == term
-            )
+            is_source = z3.And(state[f"primary{term}"] == source, state[f"stream{source}"] == term)
             for position in self._positions:
                 copied = state[f"entry{source}.{position}"]
                 actions.append(
@@ -277,9 +275,7 @@
         is_longer = z3.UGT(first_length, second_length)
         if not self._has(PromotionGuard.COMPARE_LOG_TERM):
             return is_longer
-        return z3.Or(
-            z3.UGT(first_term, second_term), z3.And(first_term == second_term, is_longer)
-        )
+        return z3.Or(z3.UGT(first_term, second_term), z3.And(first_term == second_term, is_longer))
 
     def _follow(
         self, state: State, term: int, target: int, source: int, is_source: z3.BoolRef
--- a/libs/routing/src/pistachiowinch/routing/session.py
+++ b/libs/routing/src/pistachiowinch/routing/session.py
@@ -1,6 +1,7 @@
 """State of one caller's session."""
 
 import itertools
+from collections.abc import Callable
 
 from returns.result import Failure, Result, Success
 
@@ -22,12 +23,20 @@
     :param connection: the connection.
     :param target: name of the target.
     :param term: primary's term when the connection was pinned.
+    :param leave_gate: tells the primary's gate that the transaction has ended.
     :param has_written: whether the open transaction changed data.
     :param is_open: whether a transaction is open, as opposed to kept connection state.
     """
 
-    def __init__(self, connection: TargetConnection, target: str, term: int) -> None:
-        """Start without an open transaction."""
+    def __init__(
+        self,
+        connection: TargetConnection,
+        target: str,
+        term: int,
+        leave_gate: Callable[[], None],
+    ) -> None:
+        """Start without an open transaction, inside the primary's gate."""
+        self._leave_gate: Callable[[], None] | None = leave_gate
         self.connection = connection
         self.target = target
         self.term = term
@@ -37,6 +46,24 @@
         self.request_id: str | None = None
         self.statement_texts: list[str] = []
 
+    @property
+    def is_in_gate(self) -> bool:
+        """Whether the primary's gate counts this transaction."""
+        return self._leave_gate is not None
+
+    def enter_gate(self, leave_gate: Callable[[], None]) -> None:
+        """Note that the gate counts another transaction on the same connection.
+
+        :param leave_gate: tells the gate that the transaction has ended.
+        """
+        self._leave_gate = leave_gate
+
+    def leave_gate(self) -> None:
+        """Let a planned switch go on; leaving again has no effect."""
+        if self._leave_gate is not None:
+            self._leave_gate()
+            self._leave_gate = None
+
 
 class Session:
     """One caller's session on this host.
@@ -53,6 +80,7 @@
         self.customer = customer
         self.service = service
         self.name: str | None = None
+        self.resolved_name: str | None = None
         self.token: SessionToken | None = None
         self.max_staleness_ms: int | None = None
         self.is_token_doubtful = False
--- /dev/null
+++ b/tests/model/test_checker.py
@@ -0,0 +1,67 @@
+"""Guards against guards: without each one, the checker has to find a violation.
+
+A check that passes with a guard removed would prove nothing about the guard.
+"""
+
+from typing import NamedTuple
+
+import pytest
+
+from pistachiowinch.model.checker import Specification, check
+from pistachiowinch.model.escrow import EscrowGuard, EscrowSpecification
+from pistachiowinch.model.ledger import LedgerGuard, LedgerSpecification
+from pistachiowinch.model.promotion import PromotionGuard, PromotionSpecification
+
+
+class _Case(NamedTuple):
+    specification: Specification
+    depth_steps: int
+
+
+COMPLETE = [
+    _Case(PromotionSpecification(), 10),
+    _Case(LedgerSpecification(), 16),
+    _Case(EscrowSpecification(), 10),
+]
+
+# The depth of each shortest violation; terms are reduced where two suffice.
+MUTANTS = [
+    *(
+        _Case(PromotionSpecification(guard, terms), depth)
+        for guard, terms, depth in [
+            (PromotionGuard.CONFIRM_BY_MAJORITY, 2, 6),
+            (PromotionGuard.CONFIRM_PROMISED_TERM, 2, 8),
+            (PromotionGuard.CONFIRM_STREAM_TERM, 3, 12),
+            (PromotionGuard.FENCE_MAJORITY, 2, 6),
+            (PromotionGuard.CHOOSE_GREATEST, 2, 8),
+            (PromotionGuard.COMPARE_LOG_TERM, 3, 13),
+            (PromotionGuard.REFUSE_LOWER_TERM, 3, 8),
+            (PromotionGuard.PROMOTE_PROMISED, 3, 11),
+            (PromotionGuard.TRUNCATE, 3, 12),
+        ]
+    ),
+    *(_Case(LedgerSpecification(guard), 8) for guard in LedgerGuard),
+    *(_Case(EscrowSpecification(guard), 16) for guard in EscrowGuard),
+]
+
+
+def _mutant_name(case: _Case) -> str:
+    return case.specification.removed.name
+
+
+@pytest.mark.parametrize("case", COMPLETE, ids=lambda case: case.specification.name)
+def test_the_complete_protocol_keeps_its_invariants(case, capsys):
+    result = check(case.specification, case.depth_steps)
+    with capsys.disabled():
+        print(
+            f"\n[model] {result.specification}: {result.scope}, {result.action_count} actions, "
+            f"all behaviours of up to {result.depth_steps} steps, {result.run_time_s:.1f} s"
+        )
+    assert result.trace is None, result.trace.text
+
+
+@pytest.mark.parametrize("case", MUTANTS, ids=_mutant_name)
+def test_the_checker_refutes_a_protocol_without_the_guard(case):
+    result = check(case.specification, case.depth_steps)
+    assert result.trace is not None
+    assert result.trace.steps
