--- a/libs/proxy/src/pistachiowinch/proxy/classify.py
+++ b/libs/proxy/src/pistachiowinch/proxy/classify.py
@@ -81,6 +81,7 @@
     :param needs_transaction: forwarded only while a transaction is open, because its result
         depends on the connection.
     :param reason: why a statement is refused.
+    :param is_plain_read: a forwarded read without any special rule.
     """
 
     action: Action
@@ -88,13 +89,14 @@
     is_locking_read: bool = False
     needs_transaction: bool = False
     reason: str = ""
+    is_plain_read: bool = False
 
 
 class _Unsafe(Exception):
     """The text hides statements from the lexer."""
 
 
-_READ = Treatment(Action.FORWARD, StatementKind.READ)
+_READ = Treatment(Action.FORWARD, StatementKind.READ, is_plain_read=True)
 _LOCKING_READ = Treatment(Action.FORWARD, StatementKind.READ, is_locking_read=True)
 _WRITE = Treatment(Action.FORWARD, StatementKind.WRITE)
 _DDL = Treatment(Action.FORWARD, StatementKind.DDL)
@@ -102,6 +104,7 @@
 _BEGIN = Treatment(Action.FORWARD, StatementKind.BEGIN)
 _COMMIT = Treatment(Action.FORWARD, StatementKind.COMMIT)
 _ROLLBACK = Treatment(Action.FORWARD, StatementKind.ROLLBACK)
+_CONNECTION_READ = Treatment(Action.FORWARD, StatementKind.READ, needs_transaction=True)
 _SAVEPOINT = Treatment(Action.FORWARD, StatementKind.READ, needs_transaction=True)
 
 
@@ -408,7 +411,7 @@
         return _WRITE._replace(needs_transaction=needs_transaction)
     if found.is_locking:
         return _LOCKING_READ._replace(needs_transaction=needs_transaction)
-    return _READ._replace(needs_transaction=needs_transaction)
+    return _CONNECTION_READ if needs_transaction else _READ
 
 
 _VARIABLE = r"@@(?:SESSION\.|LOCAL\.)?PISTACHIOWINCH_\w+"
--- a/libs/proxy/src/pistachiowinch/proxy/connection.py
+++ b/libs/proxy/src/pistachiowinch/proxy/connection.py
@@ -313,7 +313,8 @@
         rows = None if is_binary else unchanged_rows(answer, self._is_eof_deprecated)
         if rows is not None and self.stream.seq == 1:
             end = end_packet(answer, self.runner.status, self._is_eof_deprecated)
-            await self.stream.write_frames(rows.head, rows.frames, rows.next_seq, end)
+            if not self.stream.write_small(rows.head, rows.frames, rows.next_seq, end):
+                await self.stream.write_frames(rows.head, rows.frames, rows.next_seq, end)
             return
         try:
             encoded = answer_packets(answer, self.runner.status, self._is_eof_deprecated, is_binary)
--- a/libs/proxy/src/pistachiowinch/proxy/runner.py
+++ b/libs/proxy/src/pistachiowinch/proxy/runner.py
@@ -129,6 +129,13 @@
             treatment = classify(text)
         else:
             treatment = await asyncio.to_thread(classify, text)
+        if treatment.is_plain_read and self.settings.is_autocommit and self.session is not None:
+            # The usual case, without the steps that only writes and transactions need.
+            settings = self.settings
+            statement = Statement(
+                text, StatementKind.READ, settings.request_id, settings.is_idempotent
+            )
+            return await self._gateway.execute(self.session, statement)
         if treatment.action is Action.REFUSE:
             return Failure(Refusal(STATEMENT_NOT_SUPPORTED, treatment.reason))
         if treatment.action is Action.USE:
--- a/libs/proxy/src/pistachiowinch/proxy/stream.py
+++ b/libs/proxy/src/pistachiowinch/proxy/stream.py
@@ -218,8 +218,20 @@
         if self._writer is not None or self._is_closed:
             await self.drain()
 
+    def write_small(self, head: bytes, frames: bytes, next_seq: int, end: bytes) -> bool:
+        """Write a small answer at once if the caller keeps up.
+
+        :returns: false if :meth:`write_frames` is needed; nothing was written then.
+        """
+        if len(frames) > _CHUNK_BYTES or self._writer is not None or self._is_closed:
+            return False
+        self.seq = (next_seq + 1) & 0xFF
+        last = (len(end) | next_seq << 24).to_bytes(4, "little")
+        self._transport.write(b"".join((head, frames, last, end)))
+        return True
+
     async def write_frames(self, head: bytes, frames: bytes, next_seq: int, end: bytes) -> None:
-        """Write an answer whose packets have their headers already.
+        """Write an answer whose packets have their headers already, waiting for a slow caller.
 
         :param head: packets before the rows, numbered from 1.
         :param frames: row packets.
@@ -227,24 +239,14 @@
         :param end: payload of the last packet.
         :raises ConnectionClosed: if the caller is gone or does not read.
         """
-        last = (len(end) | next_seq << 24).to_bytes(4, "little") + end
-        self.seq = (next_seq + 1) & 0xFF
-        if self._is_closed:
-            raise ConnectionClosed
-        if len(frames) <= _CHUNK_BYTES:
-            self._transport.write(head + frames + last)
-        else:
-            await self._write_chunks(head, frames)
-            self._transport.write(last)
-        if self._writer is not None:
-            await self.drain()
-
-    async def _write_chunks(self, head: bytes, frames: bytes) -> None:
+        await self.drain()
         self._transport.write(head)
         view = memoryview(frames)
         for start in range(0, len(frames), _CHUNK_BYTES):
             self._transport.write(view[start : start + _CHUNK_BYTES])
             await self.drain()
+        self.seq = next_seq
+        await self.write(end)
 
     async def write(self, data: bytes, drain: bool = True) -> None:
         """Write one packet.
--- a/tests/proxy/test_stream.py
+++ b/tests/proxy/test_stream.py
@@ -120,9 +120,10 @@
 async def test_slow_caller_gets_everything_in_order():
     stream, transport = make_stream()
     stream.pause_writing()
+    assert not stream.write_small(b"H", b"r", 9, b"end")
     writing = asyncio.create_task(stream.write_frames(b"H", b"r" * 600_000, 9, b"end"))
     await asyncio.sleep(1.0)
-    assert len(transport.written) < 300_000
+    assert len(transport.written) == 0
     stream.resume_writing()
     await writing
     assert transport.written == b"H" + b"r" * 600_000 + b"\x03\x00\x00\x09end"
