--- /dev/null
+++ b/libs/operations/src/pistachiowinch/operations/operators_http.py
@@ -0,0 +1,277 @@
+"""Operators' HTTP interface of one host.
+
+Every answer is JSON except metrics. Every refusal carries a numbered result code:
+``{"error": {"number": ..., "name": ..., "detail": ..., "ran": ..., "advice": ...}}``.
+"""
+
+from collections.abc import Awaitable, Callable, Sequence
+from typing import Any, Protocol
+
+import msgspec
+from aiohttp import hdrs, web
+from returns.result import Failure, Result, Success
+
+from pistachiowinch.base.codes import (
+    INTERNAL,
+    MALFORMED_PACKET,
+    NO_MAJORITY,
+    OPERATOR_KEY_BAD,
+    PATCH_ID_REUSED,
+    PATCH_INVALID,
+    PATCH_OUTCOME_UNKNOWN,
+    PATCH_TOO_LARGE,
+    STALE_BASE_VERSION,
+    STORE_UNAVAILABLE,
+    Refusal,
+    ResultCode,
+)
+from pistachiowinch.base.logs import part_logger
+from pistachiowinch.configuration.document import Configuration
+from pistachiowinch.configuration.patches import Patch
+from pistachiowinch.operations.keys import matches_hash
+from pistachiowinch.operations.settings import OperatorSettings
+
+__all__ = ["MAX_WAIT_S", "OperatorsServer", "OperatorsView", "error_body"]
+
+MAX_WAIT_S = 60.0
+MAX_HISTORY = 1000
+_DEFAULT_HISTORY = 20
+_SHUTDOWN_TIMEOUT_S = 1.0
+_METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+_HEALTH_PATHS = frozenset({"/healthz", "/readyz"})
+_METRICS_PATH = "/metrics"
+
+_HTTP_STATUS: dict[ResultCode, int] = {
+    MALFORMED_PACKET: 400,
+    PATCH_INVALID: 400,
+    OPERATOR_KEY_BAD: 401,
+    STALE_BASE_VERSION: 409,
+    PATCH_ID_REUSED: 409,
+    PATCH_TOO_LARGE: 413,
+    INTERNAL: 500,
+    STORE_UNAVAILABLE: 503,
+    NO_MAJORITY: 503,
+    PATCH_OUTCOME_UNKNOWN: 504,
+}
+# Codes of the host's own state (4000-4999) mean: ask another host.
+_OTHER_STATUS = 503
+
+_log = part_logger("operators")
+
+
+class OperatorsView(Protocol):
+    """What the interface reads of the host, and the one thing that it changes."""
+
+    @property
+    def configuration(self) -> Configuration:
+        """The configuration in force on this host."""
+
+    @property
+    def unready_reasons(self) -> Sequence[str]:
+        """Why the host takes no new work; empty if it does."""
+
+    def status(self) -> dict[str, Any]:
+        """Return the host's state as plain data."""
+
+    def render_metrics(self) -> bytes:
+        """Return the metrics in the Prometheus text format."""
+
+    async def submit_patch(self, patch: Patch) -> Result[Any, Refusal]:
+        """Submit a patch; a success holds ``version`` and ``patch_id``."""
+
+    async def patch_history(self, count: int) -> list[Any]:
+        """Return the newest patch records, the newest first."""
+
+    async def wait_in_force(self, version: int, timeout_s: float) -> list[str]:
+        """Wait until the version is in force; return the hosts that still lack it."""
+
+
+def error_body(refusal: Refusal) -> dict[str, Any]:
+    """Return a refusal as JSON data.
+
+    :param refusal: the refusal.
+    """
+    code = refusal.code
+    fields = {
+        "number": code.number,
+        "name": code.name,
+        "detail": refusal.detail,
+        "ran": code.ran.value,
+        "advice": code.advice,
+    }
+    return {"error": fields}
+
+
+def _json(data: Any, status: int = 200) -> web.Response:
+    body = msgspec.json.encode(data)
+    return web.Response(body=body, status=status, content_type="application/json")
+
+
+def _refuse(refusal: Refusal, status: int | None = None) -> web.Response:
+    response = _json(error_body(refusal), status or _HTTP_STATUS.get(refusal.code, _OTHER_STATUS))
+    if refusal.code is OPERATOR_KEY_BAD:
+        response.headers[hdrs.WWW_AUTHENTICATE] = "Bearer"
+    return response
+
+
+class _BadQuery(Exception):
+    """A query parameter is out of its range."""
+
+
+def _query_number(request: web.Request, name: str, default: float, limit: float) -> float:
+    text = request.query.get(name)
+    if text is None:
+        return default
+    try:
+        number = float(text)
+    except ValueError:
+        number = -1.0
+    # The comparison is also false for NaN.
+    if not 0 <= number <= limit:
+        raise _BadQuery(f"{name} must be a number from 0 to {limit:g}")
+    return number
+
+
+def _bearer_key(request: web.Request) -> str:
+    scheme, _, key = request.headers.get(hdrs.AUTHORIZATION, "").partition(" ")
+    return key.strip() if scheme.lower() == "bearer" else ""
+
+
+class OperatorsServer:
+    """HTTP server for operators.
+
+    :param view: the host.
+    :param settings: section ``[operators]``.
+    """
+
+    def __init__(self, view: OperatorsView, settings: OperatorSettings) -> None:
+        """Build the routes without opening a socket."""
+        self._view = view
+        self._settings = settings
+        self._runner: web.AppRunner | None = None
+        self._port = settings.port
+        self._app = web.Application(middlewares=[self._guard], client_max_size=settings.body_bytes)
+        self._app.add_routes(
+            [
+                web.get("/status", self._status),
+                web.get("/configuration", self._configuration),
+                web.get("/patches", self._patches),
+                web.post("/patches", self._submit),
+                web.get(_METRICS_PATH, self._metrics),
+                web.get("/healthz", self._healthz),
+                web.get("/readyz", self._readyz),
+            ]
+        )
+
+    @property
+    def url(self) -> str:
+        """Address of the running server."""
+        address = self._settings.address
+        shown = f"[{address}]" if ":" in address else address
+        return f"http://{shown}:{self._port}"
+
+    async def start(self) -> None:
+        """Listen.
+
+        :raises OSError: if the address is in use.
+        """
+        runner = web.AppRunner(self._app, access_log=None, shutdown_timeout=_SHUTDOWN_TIMEOUT_S)
+        await runner.setup()
+        try:
+            await web.TCPSite(runner, self._settings.address, self._settings.port).start()
+        except OSError:
+            await runner.cleanup()
+            raise
+        self._runner = runner
+        self._port = runner.addresses[0][1]
+
+    async def stop(self) -> None:
+        """Close all connections; a second call does nothing."""
+        runner, self._runner = self._runner, None
+        if runner is not None:
+            await runner.cleanup()
+
+    def _needs_key(self, path: str) -> bool:
+        if path in _HEALTH_PATHS:
+            return not self._settings.health_open
+        if path == _METRICS_PATH:
+            return not self._settings.metrics_open
+        return True
+
+    def _is_operator(self, request: web.Request) -> bool:
+        operators = self._view.configuration.document["operators"]
+        hashes = [entry["key_hash"] for entry in operators.values()]
+        # Without any operator nobody could submit the first patch.
+        if not hashes and self._settings.bootstrap_key_hash:
+            hashes = [self._settings.bootstrap_key_hash]
+        key = _bearer_key(request)
+        return bool(key) and matches_hash(key, hashes)
+
+    @web.middleware
+    async def _guard(
+        self,
+        request: web.Request,
+        handler: Callable[[web.Request], Awaitable[web.StreamResponse]],
+    ) -> web.StreamResponse:
+        """Check the operator's key and turn every failure into a numbered code."""
+        if self._needs_key(request.path) and not self._is_operator(request):
+            return _refuse(Refusal(OPERATOR_KEY_BAD, "a valid operator key is needed"))
+        try:
+            return await handler(request)
+        except web.HTTPRequestEntityTooLarge:
+            limit = f"the body may have {self._settings.body_bytes} bytes"
+            return _refuse(Refusal(PATCH_TOO_LARGE, limit))
+        except web.HTTPException as error:
+            detail = f"{request.method} on this path: {error.reason}"
+            return _refuse(Refusal(MALFORMED_PACKET, detail), error.status)
+        except _BadQuery as error:
+            return _refuse(Refusal(MALFORMED_PACKET, str(error)))
+        except Exception as error:
+            _log.error("{} {} failed: {!r}.", request.method, request.path, error)
+            return _refuse(Refusal(INTERNAL, "see the host's log"))
+
+    async def _status(self, request: web.Request) -> web.Response:
+        return _json(self._view.status())
+
+    async def _configuration(self, request: web.Request) -> web.Response:
+        version, digest, document = self._view.configuration[:3]
+        return _json({"version": version, "digest": digest, "document": document})
+
+    async def _patches(self, request: web.Request) -> web.Response:
+        count = int(_query_number(request, "count", _DEFAULT_HISTORY, MAX_HISTORY))
+        return _json({"patches": await self._view.patch_history(count)})
+
+    async def _submit(self, request: web.Request) -> web.Response:
+        wait_s = _query_number(request, "wait_s", 0.0, MAX_WAIT_S)
+        try:
+            patch = msgspec.json.decode(await request.read(), type=Patch)
+        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+            return _refuse(Refusal(PATCH_INVALID, f"the body is not a patch: {error}"))
+        match await self._view.submit_patch(patch):
+            case Success(accepted):
+                return await self._report(accepted, wait_s)
+            case Failure(refusal):
+                _log.warning("Patch {} was refused: {}.", patch.patch_id, refusal.code.name)
+                return _refuse(refusal)
+        return _refuse(Refusal(INTERNAL, "the patch had no result"))
+
+    async def _report(self, accepted: Any, wait_s: float) -> web.Response:
+        """Answer an accepted patch; that it is not in force yet is no error."""
+        lagging = await self._view.wait_in_force(accepted.version, wait_s)
+        fields = {
+            "accepted": {"patch_id": accepted.patch_id, "version": accepted.version},
+            "in_force": not lagging,
+            "lagging_hosts": sorted(lagging),
+        }
+        return _json(fields, 202 if lagging else 200)
+
+    async def _metrics(self, request: web.Request) -> web.Response:
+        body = self._view.render_metrics()
+        return web.Response(body=body, headers={hdrs.CONTENT_TYPE: _METRICS_TYPE})
+
+    async def _healthz(self, request: web.Request) -> web.Response:
+        return _json({"alive": True})
+
+    async def _readyz(self, request: web.Request) -> web.Response:
+        reasons = list(self._view.unready_reasons)
+        return _json({"ready": not reasons, "reasons": reasons}, 503 if reasons else 200)
--- /dev/null
+++ b/libs/operations/src/pistachiowinch/operations/parts.py
@@ -0,0 +1,99 @@
+"""Supervision of a host's long-running tasks.
+
+No task is restarted: a part that ended by a fault may have left its state half changed, so the
+host becomes unready and says why, and the platform replaces it.
+"""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+from pistachiowinch.base.logs import part_logger
+
+__all__ = ["PartRunner"]
+
+_log = part_logger("host")
+
+
+class PartRunner:
+    """Runs the parts of one host and remembers the ones that failed."""
+
+    def __init__(self) -> None:
+        """Start without parts."""
+        self._tasks: dict[str, asyncio.Task[Any]] = {}
+        self._failures: dict[str, str] = {}
+        self._failed = asyncio.Event()
+
+    @property
+    def failures(self) -> tuple[str, ...]:
+        """One sentence for each part that ended without being stopped."""
+        return tuple(self._failures.values())
+
+    @property
+    def running(self) -> tuple[str, ...]:
+        """Names of the running parts, in the order of their start."""
+        return tuple(self._tasks)
+
+    def start(self, name: str, run: Coroutine[Any, Any, Any]) -> None:
+        """Run a part in a task of its own.
+
+        :param name: unique name of the part, used in logs.
+        :param run: runs until cancelled.
+        :raises ValueError: if a part of that name is running.
+        """
+        if name in self._tasks:
+            run.close()
+            raise ValueError(f"part {name} is already running")
+        task = asyncio.get_running_loop().create_task(run, name=name)
+        self._tasks[name] = task
+        task.add_done_callback(lambda done: self._on_done(name, done))
+
+    def report(self, name: str, error: BaseException) -> None:
+        """Record a fault that a part met outside its own task, such as in a callback.
+
+        :param name: name of the part.
+        :param error: the fault.
+        """
+        self._record(name, f"failed: {error!r}")
+
+    async def wait_failed(self) -> None:
+        """Return once any part has failed."""
+        await self._failed.wait()
+
+    async def stop(self, name: str) -> None:
+        """Cancel one part and wait for its end; an unknown name does nothing.
+
+        :param name: name of the part.
+        """
+        task = self._tasks.pop(name, None)
+        if task is None:
+            return
+        task.cancel()
+        try:
+            await task
+        except asyncio.CancelledError:
+            # Cancellation of the caller itself must not be swallowed.
+            if not task.cancelled():
+                raise
+        except Exception as error:
+            _log.warning("Part {} failed while it was stopped: {!r}.", name, error)
+
+    async def stop_all(self) -> None:
+        """Stop all parts, the last started first."""
+        for name in reversed(self.running):
+            await self.stop(name)
+
+    def _on_done(self, name: str, task: asyncio.Task[Any]) -> None:
+        if self._tasks.get(name) is not task:
+            return  # It was stopped on purpose.
+        del self._tasks[name]
+        if task.cancelled():
+            self._record(name, "was cancelled from outside")
+            return
+        error = task.exception()
+        self._record(name, f"failed: {error!r}" if error else "ended before the host stopped")
+
+    def _record(self, name: str, what: str) -> None:
+        _log.error("Part {} {}.", name, what)
+        self._failures.setdefault(name, f"part {name} {what}")
+        self._failed.set()
--- /dev/null
+++ b/libs/operations/src/pistachiowinch/operations/patch_text.py
@@ -0,0 +1,133 @@
+"""Text for operators about patches, configurations and status; no input or output."""
+
+from collections.abc import Iterator, Mapping
+from typing import Any
+
+import msgspec
+from returns.result import Failure, Result
+
+from pistachiowinch.base.codes import PATCH_INVALID, Refusal
+from pistachiowinch.configuration.patches import Patch, apply_patch
+
+__all__ = [
+    "change_lines",
+    "changes_between",
+    "diff",
+    "key_operation",
+    "record_id",
+    "record_line",
+    "status_lines",
+]
+
+_MISSING = object()
+
+
+def key_operation(
+    key_id: str, customer: str, is_operator: bool, stored_hash: str
+) -> dict[str, Any]:
+    """Return the patch operation that adds a key.
+
+    :param key_id: id of the key or name of the operator.
+    :param customer: owner of a customer's key.
+    :param is_operator: whether the key is an operator's.
+    :param stored_hash: hash from :func:`~pistachiowinch.operations.keys.create_key`.
+    """
+    if is_operator:
+        return {"op": "set", "path": ["operators", key_id], "value": {"key_hash": stored_hash}}
+    value = {"customer": customer, "password_hash": stored_hash}
+    return {"op": "set", "path": ["keys", key_id], "value": value}
+
+
+def _leaves(value: Any, path: tuple[str, ...] = ()) -> Iterator[tuple[str, Any]]:
+    if isinstance(value, Mapping) and value:
+        for key in value:
+            yield from _leaves(value[key], (*path, key))
+    elif path:
+        yield "/".join(path), value
+
+
+def changes_between(before: Any, after: Any) -> list[dict[str, Any]]:
+    """List the differing leaves of two documents, in order of their path.
+
+    :param before: the older document.
+    :param after: the newer document.
+    :returns: entries with ``path`` and, unless missing on that side, ``before`` and ``after``.
+    """
+    old, new = dict(_leaves(before)), dict(_leaves(after))
+    changes = []
+    for path in sorted(old.keys() | new.keys()):
+        sides = {"before": old.get(path, _MISSING), "after": new.get(path, _MISSING)}
+        if sides["before"] != sides["after"]:
+            known = {side: value for side, value in sides.items() if value is not _MISSING}
+            changes.append({"path": path, **known})
+    return changes
+
+
+def diff(current: Mapping[str, Any], patch_json: bytes) -> Result[list[dict[str, Any]], Refusal]:
+    """Tell what a patch would change.
+
+    :param current: answer of ``GET /configuration``.
+    :param patch_json: the patch.
+    :returns: the changes, or why the patch does not fit.
+    """
+    try:
+        patch = msgspec.json.decode(patch_json, type=Patch)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        return Failure(Refusal(PATCH_INVALID, f"the file is not a patch: {error}"))
+    document = current["document"]
+    applied = apply_patch(document, patch.operations)
+    return applied.map(lambda after: changes_between(document, after))
+
+
+def change_lines(changes: list[dict[str, Any]]) -> Iterator[str]:
+    """Yield a line for each side of each change.
+
+    :param changes: what :func:`changes_between` returned.
+    """
+    for change in changes:
+        if "before" in change:
+            yield f"- {change['path']}: {change['before']}"
+        if "after" in change:
+            yield f"+ {change['path']}: {change['after']}"
+    if not changes:
+        yield "The patch changes nothing."
+
+
+def record_id(record: Mapping[str, Any]) -> str:
+    """Return the patch id of one record of ``GET /patches``.
+
+    :param record: the record.
+    """
+    return str(record.get("patch_id") or record.get("patch", {}).get("patch_id", ""))
+
+
+def record_line(record: Mapping[str, Any]) -> str:
+    """Return one record of ``GET /patches`` as a line.
+
+    :param record: the record.
+    """
+    operations = record.get("operations") or record.get("patch", {}).get("operations", [])
+    return f"{record.get('version', '?'):>8}  {record_id(record)}  {len(operations)} operations"
+
+
+def status_lines(status: Mapping[str, Any]) -> Iterator[str]:
+    """Yield the answer of ``GET /status`` as lines.
+
+    :param status: the answer.
+    """
+    ready = "ready" if status["ready"] else "not ready: " + "; ".join(status["unready_reasons"])
+    yield f"{status['host']} in {status['availability_zone']}, site {status['site']}: {ready}"
+    yield (
+        f"incarnation {status['incarnation']}, standing {'yes' if status['standing'] else 'no'}, "
+        f"{status['sessions']} sessions"
+    )
+    roster = status["roster"]
+    yield f"roster epoch {roster['epoch']}: {', '.join(roster['members']) or 'empty'}"
+    yield f"configuration version {status['configuration']['version']}"
+    for host, version in sorted(status["configuration"]["versions"].items()):
+        yield f"  {host}: version {version}"
+    for service, group in sorted(status["services"].items()):
+        yield f"service {service}: primary {group['primary'] or 'none'}, term {group['term']}"
+        for target, state in sorted(group["targets"].items()):
+            reach = "reachable" if state["reachable"] else "unreachable"
+            yield f"  {target}: {state['role']}, position {state['position']}, {reach}"
