--- /dev/null
+++ b/libs/operations/src/pistachiowinch/operations/daemon.py
@@ -0,0 +1,84 @@
+"""Runs one host as a process: logs, signals and exit code."""
+
+import asyncio
+import signal
+
+from pistachiowinch.base.logs import make_handler, part_logger
+from pistachiowinch.operations.host import Host
+from pistachiowinch.operations.links import open_links
+from pistachiowinch.operations.settings import Settings
+
+__all__ = ["StopSignals", "run_daemon"]
+
+EXIT_CLEAN = 0
+EXIT_FAILED = 1
+_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
+_log = part_logger("host")
+
+
+class StopSignals:
+    """Turns the first signal into a graceful stop and the second into an immediate one."""
+
+    def __init__(self) -> None:
+        """Start without a signal."""
+        self.first = asyncio.Event()
+        self.second = asyncio.Event()
+
+    def install(self) -> None:
+        """Take over SIGTERM and SIGINT in the running loop."""
+        loop = asyncio.get_running_loop()
+        for number in _SIGNALS:
+            loop.add_signal_handler(number, self.receive)
+
+    def receive(self) -> None:
+        """Note one signal."""
+        if self.first.is_set():
+            self.second.set()
+        self.first.set()
+
+
+async def _serve(settings: Settings) -> int:
+    signals = StopSignals()
+    signals.install()
+    links = await open_links(settings)
+    host = Host(settings, links)
+    try:
+        starting = asyncio.ensure_future(host.start())
+        # A signal must also end a start that waits for the store or for peers.
+        if not await _finished_before(starting, signals.first):
+            return EXIT_FAILED
+        await signals.first.wait()
+        _log.notice("Stopping.")
+        is_done = await _finished_before(asyncio.ensure_future(host.stop()), signals.second)
+        return EXIT_CLEAN if is_done and not host.failures else EXIT_FAILED
+    except OSError as error:
+        _log.critical("The host cannot listen: {}.", error)
+        return EXIT_FAILED
+    finally:
+        await host.abort()
+        await links.close()
+
+
+async def _finished_before(work: "asyncio.Future[None]", event: asyncio.Event) -> bool:
+    """Wait for the work or the event; cancel the work if the event is first."""
+    waiting = asyncio.ensure_future(event.wait())
+    await asyncio.wait({work, waiting}, return_when=asyncio.FIRST_COMPLETED)
+    waiting.cancel()
+    if work.done():
+        work.result()
+        return True
+    work.cancel()
+    await asyncio.gather(work, return_exceptions=True)
+    return False
+
+
+def run_daemon(settings: Settings) -> int:
+    """Run a host until a signal stops it.
+
+    :param settings: checked settings.
+    :returns: the process's exit code, 0 after a complete graceful stop.
+    """
+    handler = make_handler(settings.log.level, settings.log.format == "json")
+    with handler.applicationbound():
+        return asyncio.run(_serve(settings))
--- a/libs/operations/src/pistachiowinch/operations/operators_http.py
+++ b/libs/operations/src/pistachiowinch/operations/operators_http.py
@@ -77,7 +77,7 @@
         """Return the metrics in the Prometheus text format."""
 
     async def submit_patch(self, patch: Patch) -> Result[Any, Refusal]:
-        """Submit a patch; a success holds ``version`` and ``patch_id``."""
+        """Submit a patch; a success holds ``version``."""
 
     async def patch_history(self, count: int) -> list[Any]:
         """Return the newest patch records, the newest first."""
@@ -249,17 +249,17 @@
             return _refuse(Refusal(PATCH_INVALID, f"the body is not a patch: {error}"))
         match await self._view.submit_patch(patch):
             case Success(accepted):
-                return await self._report(accepted, wait_s)
+                return await self._report(patch.patch_id, accepted.version, wait_s)
             case Failure(refusal):
                 _log.warning("Patch {} was refused: {}.", patch.patch_id, refusal.code.name)
                 return _refuse(refusal)
         return _refuse(Refusal(INTERNAL, "the patch had no result"))
 
-    async def _report(self, accepted: Any, wait_s: float) -> web.Response:
+    async def _report(self, patch_id: str, version: int, wait_s: float) -> web.Response:
         """Answer an accepted patch; that it is not in force yet is no error."""
-        lagging = await self._view.wait_in_force(accepted.version, wait_s)
+        lagging = await self._view.wait_in_force(version, wait_s)
         fields = {
-            "accepted": {"patch_id": accepted.patch_id, "version": accepted.version},
+            "accepted": {"patch_id": patch_id, "version": version},
             "in_force": not lagging,
             "lagging_hosts": sorted(lagging),
         }
--- a/libs/operations/src/pistachiowinch/operations/patch_text.py
+++ b/libs/operations/src/pistachiowinch/operations/patch_text.py
@@ -4,10 +4,10 @@
 from typing import Any
 
 import msgspec
-from returns.result import Failure, Result
+from returns.result import Failure, Result, Success
 
 from pistachiowinch.base.codes import PATCH_INVALID, Refusal
-from pistachiowinch.configuration.patches import Patch, apply_patch
+from pistachiowinch.configuration.patches import Patch, apply_operations
 
 __all__ = [
     "change_lines",
@@ -33,9 +33,9 @@
     :param stored_hash: hash from :func:`~pistachiowinch.operations.keys.create_key`.
     """
     if is_operator:
-        return {"op": "set", "path": ["operators", key_id], "value": {"key_hash": stored_hash}}
+        return {"kind": "set", "path": ["operators", key_id], "value": {"key_hash": stored_hash}}
     value = {"customer": customer, "password_hash": stored_hash}
-    return {"op": "set", "path": ["keys", key_id], "value": value}
+    return {"kind": "set", "path": ["keys", key_id], "value": value}
 
 
 def _leaves(value: Any, path: tuple[str, ...] = ()) -> Iterator[tuple[str, Any]]:
@@ -75,8 +75,13 @@
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         return Failure(Refusal(PATCH_INVALID, f"the file is not a patch: {error}"))
     document = current["document"]
-    applied = apply_patch(document, patch.operations)
-    return applied.map(lambda after: changes_between(document, after))
+    match apply_operations(document, patch.operations):
+        case Success(changed):
+            return Success(changes_between(document, changed))
+        case Failure(faults):
+            detail = "; ".join(str(fault) for fault in faults)
+            return Failure(Refusal(PATCH_INVALID, detail))
+    raise AssertionError("unreachable")
 
 
 def change_lines(changes: list[dict[str, Any]]) -> Iterator[str]:
@@ -98,7 +103,7 @@
 
     :param record: the record.
     """
-    return str(record.get("patch_id") or record.get("patch", {}).get("patch_id", ""))
+    return str(record["patch"]["patch_id"])
 
 
 def record_line(record: Mapping[str, Any]) -> str:
@@ -106,8 +111,8 @@
 
     :param record: the record.
     """
-    operations = record.get("operations") or record.get("patch", {}).get("operations", [])
-    return f"{record.get('version', '?'):>8}  {record_id(record)}  {len(operations)} operations"
+    count = len(record["patch"]["operations"])
+    return f"version {record['version']}: {record_id(record)}, {count} operations"
 
 
 def status_lines(status: Mapping[str, Any]) -> Iterator[str]:
--- /dev/null
+++ b/libs/operations/src/pistachiowinch/operations/site_views.py
@@ -0,0 +1,67 @@
+"""Small views of the site's state, in the shapes that other libraries ask for."""
+
+from pistachiowinch.base.clock import now_s
+from pistachiowinch.base.identity import HostIdentity
+from pistachiowinch.configuration.records import Roster
+from pistachiowinch.configuration.roster import RosterReplica
+
+__all__ = ["GroupSite", "RosterHistory"]
+
+
+class GroupSite:
+    """This host and the active roster; satisfies ``groups.site.SiteView``.
+
+    :param site: the site's name.
+    :param roster: the host's roster.
+    """
+
+    def __init__(self, site: str, roster: RosterReplica) -> None:
+        """Read everything on demand."""
+        self._site = site
+        self._roster = roster
+
+    @property
+    def site(self) -> str:
+        """Name of the site."""
+        return self._site
+
+    @property
+    def host(self) -> str:
+        """Name of this host."""
+        return self._roster.identity.host
+
+    @property
+    def incarnation(self) -> int:
+        """This host's number; 0 while it has none."""
+        return self._roster.identity.incarnation
+
+    @property
+    def members(self) -> tuple[str, ...]:
+        """Hosts of the active roster."""
+        return tuple(member.host for member in self._roster.active.members)
+
+
+class RosterHistory:
+    """Members and when the last one left; satisfies ``gateway.interfaces.ViewsRoster``."""
+
+    def __init__(self, roster: RosterReplica) -> None:
+        """Follow the roster. Members that left before this host started are unknown to it."""
+        self._members: tuple[HostIdentity, ...] = ()
+        self._stable_since_s = now_s()
+        roster.changes.subscribe(on_next=self._note)
+
+    @property
+    def members(self) -> tuple[HostIdentity, ...]:
+        """Members of the newest known roster."""
+        return self._members
+
+    @property
+    def stable_since_s(self) -> float:
+        """Loop time since which no member has left."""
+        return self._stable_since_s
+
+    def _note(self, roster: Roster) -> None:
+        # A restarted host counts as left: it has forgotten what its earlier run knew.
+        if set(self._members) - set(roster.members):
+            self._stable_since_s = now_s()
+        self._members = roster.members
