Follow the gateway's and the session's new signatures

Cause: stop returns a number now, a pinned transaction knows its gate, and a temporary table could be filled by a function that writes. Change: the protocol, the fakes and the classification of CREATE TEMPORARY.

--- a/libs/measure/src/pistachiowinch/measure/speed.py
+++ b/libs/measure/src/pistachiowinch/measure/speed.py
@@ -159,8 +159,9 @@
     async def close_session(self, session: Session) -> None:
         """Nothing to close."""
 
-    async def stop(self, grace_s: float) -> None:
+    async def stop(self, grace_s: float) -> int:
         """Nothing is running."""
+        return 0
 
 
 def start_pass_through(link: MysqlTargetLink, connections: int) -> Gateway:
--- a/libs/proxy/src/pistachiowinch/proxy/classify.py
+++ b/libs/proxy/src/pistachiowinch/proxy/classify.py
@@ -482,7 +482,7 @@
 def _decide_create_or_drop(shape: str, upper: str) -> Treatment:
     verb, _, rest = upper.partition(" ")
     if re.match(r"TEMPORARY\b", rest):
-        return _STATE
+        return _decide_temporary(shape)
     subject = re.sub(r"^OR REPLACE ", "", rest)
     if re.match(
         r"(DATABASE|SCHEMA|USER|ROLE|SERVER|TABLESPACE|UNDO|LOGFILE|INSTANCE|RESOURCE)\b", subject
@@ -494,6 +494,17 @@
     return _DDL
 
 
+def _decide_temporary(shape: str) -> Treatment:
+    """Pin temporary tables, unless filling one may change other data."""
+    query = re.search(r"\b(?:SELECT|WITH)\b.*", shape, re.I | re.S)
+    if query is None:
+        return _STATE
+    treatment = _decide_query("SELECT", query[0])
+    if treatment.kind in (StatementKind.READ, StatementKind.SESSION_STATE):
+        return _STATE
+    return _refuse("a temporary table must be filled by a statement that only reads")
+
+
 def _decide_set(shape: str, upper: str) -> Treatment:
     return Treatment(Action.SET)
 
--- a/libs/proxy/src/pistachiowinch/proxy/interfaces.py
+++ b/libs/proxy/src/pistachiowinch/proxy/interfaces.py
@@ -65,8 +65,9 @@
     def sessions_ended(self) -> reactivex.Observable[Session]:
         """Sessions that the gateway ended; :attr:`Session.ended` says why."""
 
-    async def stop(self, grace_s: float) -> None:
+    async def stop(self, grace_s: float) -> int:
         """Stop. Afterwards nothing is running.
 
         :param grace_s: time for open transactions to end.
+        :returns: number of transactions that were rolled back.
         """
--- a/tests/proxy/edge_support.py
+++ b/tests/proxy/edge_support.py
@@ -56,7 +56,7 @@
         if self.gate is not None:
             await self.gate.wait()
         if statement.kind is StatementKind.BEGIN:
-            session.pinned = PinnedTransaction(None, "t", 1)
+            session.pinned = PinnedTransaction(None, "t", 1, lambda: None)
             session.pinned.is_open = True
         if statement.kind in (StatementKind.COMMIT, StatementKind.ROLLBACK):
             session.pinned = None
@@ -78,6 +78,7 @@
 
     async def stop(self, grace_s):
         """Nothing runs."""
+        return 0
 
     def texts(self):
         """Return the statements' texts."""
--- a/tests/proxy/test_classify.py
+++ b/tests/proxy/test_classify.py
@@ -73,6 +73,7 @@
 select 1--get_lock('x',1)
 select `a`, @`b` from t
 create temporary table t (a int)
+create temporary table t select a, count(*) from u group by a
 drop temporary table t
 """
 
@@ -108,6 +109,7 @@
 create database x
 drop database x
 create table t (a int); drop table u
+create temporary table t select my_function()
 kill 5
 xa start 'x'
 commit and chain
