--- a/tests/standins/test_mysql_server.py
+++ b/tests/standins/test_mysql_server.py
@@ -21,6 +21,7 @@
     TargetStatus,
     TargetUnreachable,
 )
+from pistachiowinch.standins.database_group import FakeDatabaseGroup
 from pistachiowinch.standins.mysql_server import Login, MysqlTargetServer
 from pistachiowinch.targets.group import SqlGroupLink
 from pistachiowinch.targets.link import MysqlTargetLink, TargetAddress, TargetCredentials
@@ -219,3 +220,41 @@
         assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
         assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT) == 10_000
         await connection.close()
+
+
+async def test_in_memory_group_is_served_with_promotion_and_replication():
+    schema = ("CREATE TABLE items (id INTEGER PRIMARY KEY, name TEXT)",)
+    group = FakeDatabaseGroup("hire", ("t1", "t2", "t3"), schema)
+    view = group.view("host-1")
+    server = MysqlTargetServer(view, view, ("t1", "t2", "t3"), LOGIN)
+    await server.start()
+    link = MysqlTargetLink(
+        lambda target: TargetAddress("127.0.0.1", server.port_of(target)),
+        TargetCredentials(*LOGIN),
+        "hire",
+    )
+    orders = SqlGroupLink(link)
+    try:
+        connection = await link.connect("t1")
+        for text in ("BEGIN", "INSERT INTO items VALUES (1, 'mixer')", "COMMIT"):
+            assert isinstance(await connection.execute(text), Answered)
+        written = await orders.status("t1")
+        for _ in range(1_000):
+            if (await orders.status("t2")).applied_position >= written.position:
+                break
+            await asyncio.sleep(0.01)
+        for target in ("t1", "t2", "t3"):
+            assert (await orders.fence(target, 5)).is_accepted
+        assert (await orders.promote("t2", 5)).status.role is TargetRole.PRIMARY
+        assert not (await orders.fence("t3", 4)).is_accepted
+        refused = await connection.execute("INSERT INTO items VALUES (2, 'drill')")
+        assert not isinstance(refused, Answered)
+        replica = await link.connect("t2")
+        rows = (await replica.execute("SELECT id, name FROM items")).answer.rows
+        assert rows == ((1, "mixer"),)
+        await replica.close()
+        await connection.close()
+    finally:
+        await orders.close()
+        await server.stop()
+        await group.close()
