Use less memory per caller and hide other callers' data

Cause: an idle caller cost 6 to 9 KB; system schemas show accounts and other callers' statements; a refused caller's transaction kept its locks for up to 1 s.

--- a/libs/proxy/src/pistachiowinch/proxy/classify.py
+++ b/libs/proxy/src/pistachiowinch/proxy/classify.py
@@ -211,6 +211,8 @@
         return _refuse("several statements in one text are not supported")
     if word not in ("SET", "SELECT") and _RESERVED_PREFIX in upper:
         return _refuse("names that start with pistachiowinch_ are reserved")
+    if _FOREIGN_DATA.search(upper):
+        return _refuse("data about accounts and other callers is not shown")
     if word in _REFUSED_WORDS:
         return _refuse(f"{word} is not supported")
     if word in _BY_WORD:
@@ -240,6 +242,13 @@
     return re.sub(r"`(?:[^`]|``)*`", "``", shape)
 
 
+# The product's account may read them, but they show accounts and statements of other customers.
+_FOREIGN_DATA = re.compile(
+    r"\b(?:MYSQL|PERFORMANCE_SCHEMA|SYS)\b`?\s*\.|\bINFORMATION_SCHEMA\b`?\s*\.\s*`?PROCESSLIST\b"
+    r"|^SHOW\s+(?:FULL\s+)?(?:PROCESSLIST|GRANTS|CREATE\s+USER|PROFILE|ENGINE\s|BINLOG|BINARY|MASTER"
+    r"|RELAYLOG|REPLICA|SLAVE)|^(?:EXPLAIN|DESC|DESCRIBE)\s.*\bFOR\s+CONNECTION\b"
+)
+
 # Statements with rights that the product's own account may hold but no caller has, statements that
 # hide other statements, and statements that leave state which cannot be undone.
 _REFUSED_WORDS = _names("""
@@ -437,8 +446,6 @@
 def _decide_show(shape: str, upper: str) -> Treatment:
     if re.match(r"SHOW (COUNT ?\( ?\* ?\) )?(WARNINGS|ERRORS)\b", upper):
         return Treatment(Action.WARNINGS, needs_transaction=True)
-    if re.match(r"SHOW (FULL )?PROCESSLIST|SHOW (GRANTS|CREATE USER|PROFILE)", upper):
-        return _refuse("information about other callers is not shown")
     return _READ
 
 
--- a/libs/proxy/src/pistachiowinch/proxy/connection.py
+++ b/libs/proxy/src/pistachiowinch/proxy/connection.py
@@ -60,7 +60,8 @@
 _NO_ATTRIBUTES = b"\x00\x01"
 
 _log = part_logger("callers")
-_GLOBAL_VARIABLES = GlobalVariables()
+# Only read here, so all connections share them.
+_VARIABLES = SessionVariables(GlobalVariables())
 _DONE = Answer()
 
 
@@ -69,7 +70,7 @@
 
     def __init__(self) -> None:
         """Start with the defaults of the library."""
-        self.variables = SessionVariables(_GLOBAL_VARIABLES)
+        self.variables = _VARIABLES
         self.username = None
         self.database = None
 
@@ -103,22 +104,6 @@
         self._next_statement = 1
         self._ending: Refusal | None = None
         self._waits_for_transaction = False
-        self._commands = {
-            0x02: self.handle_init_db,
-            0x03: self.handle_query,
-            0x04: self.handle_unsupported,
-            0x09: self.handle_statistics,
-            0x0D: self.handle_ping,
-            0x0E: self.handle_ping,
-            0x11: self.handle_change_user,
-            0x16: self.handle_stmt_prepare,
-            0x17: self.handle_stmt_execute,
-            0x18: self.handle_stmt_send_long_data,
-            0x19: self.handle_stmt_close,
-            0x1A: self.handle_stmt_reset,
-            0x1B: self.handle_set_option,
-            0x1F: self.handle_reset_connection,
-        }
 
     # Lifecycle
 
@@ -169,6 +154,8 @@
         try:
             self.stream.write_many((error_packet(refusal),))
             self.stream.finish()
+            # Before the wait, so that locks of an open transaction are not held meanwhile.
+            await self.runner.close()
             await self.stream.wait_closed(END_NOTICE_LIMIT_S)
         except (ConnectionClosed, OSError):
             pass
@@ -214,8 +201,8 @@
                 raise PacketMalformed("a command is empty")
             if data[0] == 0x01:
                 return
-            handler = self._commands.get(data[0], self.handle_unsupported)
-            await handler(data[1:])
+            handler = _COMMANDS.get(data[0], CallerConnection.handle_unsupported)
+            await handler(self, data[1:])
 
     # Login
 
@@ -510,5 +497,23 @@
         await self._send(Success(_DONE))
 
 
+_COMMANDS = {
+    0x02: CallerConnection.handle_init_db,
+    0x03: CallerConnection.handle_query,
+    0x04: CallerConnection.handle_unsupported,
+    0x09: CallerConnection.handle_statistics,
+    0x0D: CallerConnection.handle_ping,
+    0x0E: CallerConnection.handle_ping,
+    0x11: CallerConnection.handle_change_user,
+    0x16: CallerConnection.handle_stmt_prepare,
+    0x17: CallerConnection.handle_stmt_execute,
+    0x18: CallerConnection.handle_stmt_send_long_data,
+    0x19: CallerConnection.handle_stmt_close,
+    0x1A: CallerConnection.handle_stmt_reset,
+    0x1B: CallerConnection.handle_set_option,
+    0x1F: CallerConnection.handle_reset_connection,
+}
+
+
 def _unknown_statement() -> Failed:
     return Failed(1243, "HY000", "Unknown prepared statement handler")
--- a/libs/proxy/src/pistachiowinch/proxy/interfaces.py
+++ b/libs/proxy/src/pistachiowinch/proxy/interfaces.py
@@ -50,7 +50,7 @@
         """
 
     async def reset_session(self, session: Session) -> None:
-        """Roll back and drop connection state; token and settings of the session are cleared.
+        """Roll back and drop connection state and settings; the token is kept.
 
         :param session: the caller's session.
         """
--- a/tests/proxy/test_classify.py
+++ b/tests/proxy/test_classify.py
@@ -27,6 +27,8 @@
 select 'it''s', "a\\"b;", `we;ird` from t # comment
 select @@version, @@session.transaction_isolation
 show tables
+select table_name from information_schema.tables
+select system, mysql_version from t
 explain select * from t
 explain analyze select 1
 describe t
@@ -117,6 +119,12 @@
 start replica
 start slave
 show processlist
+show full processlist
+show engine innodb status
+select * from information_schema.processlist
+select * from `mysql`.`user`
+select * from performance_schema.threads
+explain for connection 5
 insert into t values (@a := 1)
 update t set a = get_lock('x', 1)
 select * from pistachiowinch_ledger
