--- a/libs/proxy/src/pistachiowinch/proxy/classify.py
+++ b/libs/proxy/src/pistachiowinch/proxy/classify.py
@@ -211,6 +211,8 @@
         return _refuse("several statements in one text are not supported")
     if word not in ("SET", "SELECT") and _RESERVED_PREFIX in upper:
         return _refuse("names that start with pistachiowinch_ are reserved")
+    if _FOREIGN_DATA.search(upper):
+        return _refuse("data about accounts and other callers is not shown")
     if word in _REFUSED_WORDS:
         return _refuse(f"{word} is not supported")
     if word in _BY_WORD:
@@ -240,6 +242,13 @@
     return re.sub(r"`(?:[^`]|``)*`", "``", shape)
 
 
+# The product's account may read them, but they show accounts and statements of other customers.
+_FOREIGN_DATA = re.compile(
+    r"\b(?:MYSQL|PERFORMANCE_SCHEMA|SYS)\b`?\s*\.|\bINFORMATION_SCHEMA\b`?\s*\.\s*`?PROCESSLIST\b"
+    r"|^SHOW\s+(?:FULL\s+)?(?:PROCESSLIST|GRANTS|CREATE\s+USER|PROFILE|ENGINE\s|BINLOG|BINARY|MASTER"
+    r"|RELAYLOG|REPLICA|SLAVE)|^(?:EXPLAIN|DESC|DESCRIBE)\s.*\bFOR\s+CONNECTION\b"
+)
+
 # Statements with rights that the product's own account may hold but no caller has, statements that
 # hide other statements, and statements that leave state which cannot be undone.
 _REFUSED_WORDS = _names("""
@@ -437,8 +446,6 @@
 def _decide_show(shape: str, upper: str) -> Treatment:
     if re.match(r"SHOW (COUNT ?\( ?\* ?\) )?(WARNINGS|ERRORS)\b", upper):
         return Treatment(Action.WARNINGS, needs_transaction=True)
-    if re.match(r"SHOW (FULL )?PROCESSLIST|SHOW (GRANTS|CREATE USER|PROFILE)", upper):
-        return _refuse("information about other callers is not shown")
     return _READ
 
 
@@ -482,7 +489,7 @@
 def _decide_create_or_drop(shape: str, upper: str) -> Treatment:
     verb, _, rest = upper.partition(" ")
     if re.match(r"TEMPORARY\b", rest):
-        return _STATE
+        return _decide_temporary(shape)
     subject = re.sub(r"^OR REPLACE ", "", rest)
     if re.match(
         r"(DATABASE|SCHEMA|USER|ROLE|SERVER|TABLESPACE|UNDO|LOGFILE|INSTANCE|RESOURCE)\b", subject
@@ -494,6 +501,17 @@
     return _DDL
 
 
+def _decide_temporary(shape: str) -> Treatment:
+    """Pin temporary tables, unless filling one may change other data."""
+    query = re.search(r"\b(?:SELECT|WITH)\b.*", shape, re.I | re.S)
+    if query is None:
+        return _STATE
+    treatment = _decide_query("SELECT", query[0])
+    if treatment.kind in (StatementKind.READ, StatementKind.SESSION_STATE):
+        return _STATE
+    return _refuse("a temporary table must be filled by a statement that only reads")
+
+
 def _decide_set(shape: str, upper: str) -> Treatment:
     return Treatment(Action.SET)
 
--- a/libs/proxy/src/pistachiowinch/proxy/interfaces.py
+++ b/libs/proxy/src/pistachiowinch/proxy/interfaces.py
@@ -50,7 +50,7 @@
         """
 
     async def reset_session(self, session: Session) -> None:
-        """Roll back and drop connection state; token and settings of the session are cleared.
+        """Roll back and drop connection state and settings; the token is kept.
 
         :param session: the caller's session.
         """
@@ -65,8 +65,9 @@
     def sessions_ended(self) -> reactivex.Observable[Session]:
         """Sessions that the gateway ended; :attr:`Session.ended` says why."""
 
-    async def stop(self, grace_s: float) -> None:
+    async def stop(self, grace_s: float) -> int:
         """Stop. Afterwards nothing is running.
 
         :param grace_s: time for open transactions to end.
+        :returns: number of transactions that were rolled back.
         """
--- a/tests/proxy/test_classify.py
+++ b/tests/proxy/test_classify.py
@@ -27,6 +27,8 @@
 select 'it''s', "a\\"b;", `we;ird` from t # comment
 select @@version, @@session.transaction_isolation
 show tables
+select table_name from information_schema.tables
+select system, mysql_version from t
 explain select * from t
 explain analyze select 1
 describe t
@@ -73,6 +75,7 @@
 select 1--get_lock('x',1)
 select `a`, @`b` from t
 create temporary table t (a int)
+create temporary table t select a, count(*) from u group by a
 drop temporary table t
 """
 
@@ -108,6 +111,7 @@
 create database x
 drop database x
 create table t (a int); drop table u
+create temporary table t select my_function()
 kill 5
 xa start 'x'
 commit and chain
@@ -115,6 +119,12 @@
 start replica
 start slave
 show processlist
+show full processlist
+show engine innodb status
+select * from information_schema.processlist
+select * from `mysql`.`user`
+select * from performance_schema.threads
+explain for connection 5
 insert into t values (@a := 1)
 update t set a = get_lock('x', 1)
 select * from pistachiowinch_ledger
