--- a/libs/configuration/src/pistachiowinch/configuration/records.py
+++ b/libs/configuration/src/pistachiowinch/configuration/records.py
@@ -79,8 +79,8 @@
 
     @property
     def majority(self) -> int:
-        """Number of members that are more than half."""
-        return len(self.members) // 2 + 1
+        """Number of members that are more than half; 0 if all members have left."""
+        return len(self.members) // 2 + 1 if self.members else 0
 
     def find(self, host: str) -> HostIdentity | None:
         """Return the member with a host name."""
--- a/libs/configuration/src/pistachiowinch/configuration/standing.py
+++ b/libs/configuration/src/pistachiowinch/configuration/standing.py
@@ -120,7 +120,7 @@
         dates = sorted(
             (self._date(member, found, own_s) for member in roster.members), reverse=True
         )
-        return dates[roster.majority - 1] if roster.epoch else _NEVER_S
+        return dates[roster.majority - 1] if dates else _NEVER_S
 
     def _date(self, member: HostIdentity, found: dict[str, _Evidence], own_s: float) -> float:
         own = self._state.identity
--- a/tests/configuration/test_replica.py
+++ b/tests/configuration/test_replica.py
@@ -134,6 +134,45 @@
         assert not any(other.state.doubts for other in world.hosts.values())
 
 
+async def test_lost_reply_and_store_down_end_the_confirmation_of_the_replaced_version():
+    async with settled_site() as world:
+        host = world.hosts["a"]
+        revision = world.store.revision
+        host.client.faults.lost_replies = 1
+        submission = asyncio.create_task(host.configuration.submit(rate_patch("p1", 0)))
+        await world.until(lambda: world.store.revision > revision, step_s=0.0002)
+        world.store.faults.is_down = True
+        await sleep_s(1.7)
+        assert not any(other.has_standing for other in world.hosts.values())
+        assert (await submission).failure().code == codes.PATCH_OUTCOME_UNKNOWN
+        world.store.faults.is_down = False
+        await world.until(lambda: versions(world) == {1})
+
+
+async def test_patch_reported_as_not_accepted_is_not_accepted_later():
+    async with settled_site() as world:
+        host = world.hosts["a"]
+        submission = asyncio.create_task(host.configuration.submit(rate_patch("p1", 0)))
+        await world.until(lambda: host.state.doubts, step_s=0.0002)
+        # Only the transaction is slow: it arrives 3 s after it was sent.
+        sent = host.client.calls["transact"]
+        host.client.faults.delay_s = 6.0
+        await world.until(lambda: host.client.calls["transact"] > sent, step_s=0.0002)
+        host.client.faults.delay_s = 0.0
+        world.network.cut("a", "bcde")
+        refused = (await submission).failure()
+        assert (refused.code, refused.code.ran) == (codes.NO_MAJORITY, codes.Ran.NO)
+        await sleep_s(10.0)
+        assert world.store.apply_get(host.state.keys.patch("p1")) is None
+
+
+async def test_majority_that_was_heard_a_moment_ago_has_to_agree_now():
+    async with settled_site() as world:
+        world.network.cut("a", "bcde")
+        assert await refusal_of(world.hosts["a"], rate_patch("p1", 0)) == codes.NO_MAJORITY
+        assert world.store.apply_get(world.hosts["a"].state.keys.head) is None
+
+
 async def test_store_down_refuses_patches_as_not_accepted_and_keeps_standing():
     async with settled_site() as world:
         world.store.faults.is_down = True
--- a/tests/configuration/test_roster.py
+++ b/tests/configuration/test_roster.py
@@ -78,6 +78,20 @@
         assert shares(world) == dict.fromkeys("bcde", 0.25)
 
 
+async def test_site_that_everybody_left_starts_again():
+    """Guards against a roster without members, which has no majority."""
+    async with settled_site(("a", "b")) as world:
+        for name in world.names:
+            await world.hosts[name].roster.leave()
+        await sleep_s(2.0)
+        for name in world.names:
+            await world.hosts[name].crash()
+        world.start()
+        assert await watch_shares(world, 2.0) <= 1.0
+        await world.until(world.is_settled)
+        assert shares(world) == {"a": 0.5, "b": 0.5}
+
+
 async def test_site_of_two_goes_on_after_one_leaves():
     """Guards against a predecessor whose majority can never adopt the next epoch."""
     async with settled_site(("a", "b")) as world:
