Send the pending configuration version in heartbeats

Cause: the membership did not copy LocalState.config_pending, so members in doubt about a patch still confirmed the version that it replaces. Change: one field in Membership._heartbeat. Conclusion: hosts in doubt no longer count as evidence.

--- a/libs/peering/src/pistachiowinch/peering/membership.py
+++ b/libs/peering/src/pistachiowinch/peering/membership.py
@@ -274,6 +274,7 @@
             suspected_hosts=tuple(sorted(self.suspected_hosts)),
             primaries=state.primaries,
             heard=self._heard(),
+            config_pending=state.config_pending,
         )
 
     def _heard(self) -> tuple[str, ...]:
