--- a/libs/operations/src/pistachiowinch/operations/daemon.py
+++ b/libs/operations/src/pistachiowinch/operations/daemon.py
@@ -3,9 +3,10 @@
 import asyncio
 import signal
 
-from pistachiowinch.base.logs import make_handler, part_logger
+from pistachiowinch.base.logs import part_logger
 from pistachiowinch.operations.host import Host
 from pistachiowinch.operations.links import open_links
+from pistachiowinch.operations.process_logs import process_logs
 from pistachiowinch.operations.settings import Settings
 
 __all__ = ["StopSignals", "run_daemon"]
@@ -79,6 +80,5 @@
     :param settings: checked settings.
     :returns: the process's exit code, 0 after a complete graceful stop.
     """
-    handler = make_handler(settings.log.level, settings.log.format == "json")
-    with handler.applicationbound():
+    with process_logs(settings.log):
         return asyncio.run(_serve(settings))
--- a/libs/operations/src/pistachiowinch/operations/demo.py
+++ b/libs/operations/src/pistachiowinch/operations/demo.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import contextlib
+import logging
 import os
 import signal
 from pathlib import Path
@@ -14,12 +15,12 @@
 from returns.result import Failure, Success
 
 from pistachiowinch.base.clock import now_s, sleep_s
-from pistachiowinch.base.logs import make_handler
 from pistachiowinch.groups.ledger import LEDGER_TABLE
 from pistachiowinch.operations.host import Host
 from pistachiowinch.operations.keys import CreatedKey, create_key, operator_hash
 from pistachiowinch.operations.links import HostLinks, open_links
 from pistachiowinch.operations.operators_client import OperatorsClient
+from pistachiowinch.operations.process_logs import process_logs
 from pistachiowinch.operations.settings import (
     CallerSettings,
     HostSettings,
@@ -58,6 +59,7 @@
 BURST = 1000.0
 SLOTS = 5
 CONNECTIONS = 30
+_LOGS = LogSettings("WARNING", "text")
 _LOGIN = Login("pistachiowinch", "demo-target-password")
 _READY_LIMIT_S = 30.0
 _POLL_S = 0.05
@@ -160,7 +162,7 @@
         StoreSettings((store_url,), 1.0),
         TargetSettings(_LOGIN.user, _LOGIN.password, 0.5),
         OperatorSettings(LOOPBACK, 0, False, True, True, 1_048_576, operator_hash(operator_key)),
-        LogSettings("WARNING", "text"),
+        _LOGS,
         StopSettings(0.2, 5.0),
     )
 
@@ -375,5 +377,7 @@
     :param ready_file: where addresses and keys are written; None prints them.
     :returns: exit code.
     """
-    with make_handler("WARNING", is_json=False).applicationbound():
+    # The stand-in of a killed target reports every connection that breaks with it.
+    logging.getLogger("mysql_mimic").setLevel(logging.CRITICAL)
+    with process_logs(_LOGS):
         return asyncio.run(_run_check() if is_check else _run_until_signal(ready_file))
--- a/libs/operations/src/pistachiowinch/operations/host.py
+++ b/libs/operations/src/pistachiowinch/operations/host.py
@@ -272,6 +272,7 @@
         cut = await self.gateway.stop(0.0 if self._has_listeners else self.settings.stop.grace_s)
         if cut:
             _log.warning("{} transactions were rolled back by the stop.", cut)
+        await self.rates.return_loans()
         await self._leave()
         await self.abort()
         _log.notice("Host {} has stopped.", self.name)
