--- a/libs/limits/src/pistachiowinch/limits/rates.py
+++ b/libs/limits/src/pistachiowinch/limits/rates.py
@@ -57,6 +57,9 @@
 REPORT_DELAY_S = 0.005
 # Least time between rounds that refill the own part while no request waits.
 REFILL_GAP_S = 0.05
+# A peer that did not answer in time is not asked for this long, doubled each time.
+SILENCE_S = 0.1
+MAX_SILENCE_S = 1.6
 TICK_S = 0.1
 # Unused loans go back before they expire; longer than one tick, so that none is missed.
 RETURN_BEFORE_S = 0.15
@@ -112,6 +115,13 @@
     at_s: float
 
 
+class _Silence(NamedTuple):
+    """A peer whose loans came too late: not asked until then."""
+
+    until_s: float
+    duration_s: float
+
+
 class _Fullness(NamedTuple):
     part: float
     at_s: float
@@ -131,6 +141,7 @@
         self.fullness: dict[str, _Fullness] = {}
         self.rounds: asyncio.Task | None = None
         self.last_round_s = -math.inf
+        self.hold_off_until_s = -math.inf
         self.is_report_due = False
         self.is_removed = False
 
@@ -177,6 +188,7 @@
         self._customers: dict[str, _Customer] = {}
         # A previous run of this host may have lent tokens that are still usable elsewhere.
         self._quiet_until_s = now_s() + LOAN_COUNTED_S
+        self._silent: dict[str, _Silence] = {}
         self._last_tick_s: float | None = None
         self._tasks: set[asyncio.Task] = set()
         # Numbers of a previous run must not match those of this one.
@@ -401,12 +413,27 @@
                 pass
         state.last_round_s = now_s()
         wanted = self._wanted(state)
-        if wanted <= 0.0 or not self._peers:
+        peers = self._answering_peers()
+        if wanted <= 0.0 or not peers or now_s() < state.hold_off_until_s:
             return
-        part = wanted if is_urgent else wanted / len(self._peers)
-        asks = [self._spawn(self._ask(state, peer, part, is_urgent)) for peer in self._peers]
+        part = wanted if is_urgent else wanted / len(peers)
+        asks = [self._spawn(self._ask(state, peer, part, is_urgent)) for peer in peers]
         await asyncio.wait(asks, timeout=ROUND_S)
 
+    def _answering_peers(self) -> tuple[str, ...]:
+        at_s = now_s()
+        return tuple(
+            peer
+            for peer in self._peers
+            if peer not in self._silent or self._silent[peer].until_s <= at_s
+        )
+
+    def _note_late(self, peer: str) -> None:
+        # Tokens that a slow peer lends are lost, so asking it again at once would only drain it.
+        known = self._silent.get(peer)
+        duration_s = SILENCE_S if known is None else min(2.0 * known.duration_s, MAX_SILENCE_S)
+        self._silent[peer] = _Silence(now_s() + duration_s, duration_s)
+
     def _wanted(self, state: _Customer) -> float:
         bucket = state.bucket
         bucket.advance(now_s())
@@ -440,6 +467,9 @@
         try:
             answer = await self._link.request(peer, ask.request, remaining_s)
         except PeerUnreachable:
+            if not ask.is_answered:
+                ask.is_answered = True
+                self._note_late(peer)
             return
         if not ask.is_answered:
             ask.is_answered = True
@@ -449,6 +479,10 @@
         state.fullness[peer] = _Fullness(answer.fullness, now_s())
         if answer.amount > 0.0:
             expires_s = ask.sent_s + LOAN_USABLE_S
+            if now_s() >= expires_s:
+                self._note_late(peer)
+            else:
+                self._silent.pop(peer, None)
             state.bucket.borrow(peer, answer.loan, answer.amount, expires_s, now_s())
             self._counters.tokens("borrowed", answer.amount)
         self._serve(state)
@@ -492,7 +526,9 @@
         if state.waiters:
             if not self._must_yield(state, borrower):
                 return 0.0
+            state.hold_off_until_s = now_s() + WAIT_S
             self._give_back(state, 0.0)
+            self._report(state)
             return bucket.level
         if is_urgent:
             self._give_back(state, 0.0)
