--- a/libs/operations/src/pistachiowinch/operations/daemon.py
+++ b/libs/operations/src/pistachiowinch/operations/daemon.py
@@ -42,23 +42,30 @@
 async def _serve(settings: Settings) -> int:
     signals = StopSignals()
     signals.install()
-    links = await open_links(settings)
-    host = Host(settings, links)
     try:
-        starting = asyncio.ensure_future(host.start())
-        # A signal must also end a start that waits for the store or for peers.
-        if not await _finished_before(starting, signals.first):
-            return EXIT_FAILED
+        links = await open_links(settings)
+    except OSError as error:
+        _log.critical("The host cannot listen: {}.", error)
+        return EXIT_FAILED
+    try:
+        return await _run_host(Host(settings, links), signals)
+    finally:
+        await links.close()
+
+
+async def _run_host(host: Host, signals: StopSignals) -> int:
+    try:
+        await host.start()
         await signals.first.wait()
         _log.notice("Stopping.")
-        is_done = await _finished_before(asyncio.ensure_future(host.stop()), signals.second)
+        stopping = asyncio.ensure_future(host.stop())
+        is_done = await _finished_before(stopping, signals.second)
         return EXIT_CLEAN if is_done and not host.failures else EXIT_FAILED
     except OSError as error:
         _log.critical("The host cannot listen: {}.", error)
         return EXIT_FAILED
     finally:
         await host.abort()
-        await links.close()
 
 
 async def _finished_before(work: "asyncio.Future[None]", event: asyncio.Event) -> bool:
--- a/libs/operations/src/pistachiowinch/operations/demo.py
+++ b/libs/operations/src/pistachiowinch/operations/demo.py
@@ -377,7 +377,8 @@
     :param ready_file: where addresses and keys are written; None prints them.
     :returns: exit code.
     """
-    # The stand-in of a killed target reports every connection that breaks with it.
-    logging.getLogger("mysql_mimic").setLevel(logging.CRITICAL)
+    # The stand-ins report every connection that breaks with a killed target or a stopped host.
+    for library in ("mysql_mimic", "aiohttp.server"):
+        logging.getLogger(library).setLevel(logging.CRITICAL)
     with process_logs(_LOGS):
         return asyncio.run(_run_check() if is_check else _run_until_signal(ready_file))
--- a/libs/operations/src/pistachiowinch/operations/demo_tour.py
+++ b/libs/operations/src/pistachiowinch/operations/demo_tour.py
@@ -9,6 +9,7 @@
 from asyncmy.errors import MySQLError
 
 from pistachiowinch.base.clock import now_s, sleep_s
+from pistachiowinch.base.codes import HOST_STOPPING
 from pistachiowinch.operations.demo import LOOPBACK, DemoError, DemoHost, DemoSite
 
 __all__ = ["Tour", "run_tour"]
@@ -24,6 +25,9 @@
 _TAKEN_OUT_LIMIT_S = 2.0
 
 
+_load_numbers = itertools.count(1)
+
+
 class _Load:
     """Writers with request ids; each row is inserted once however often it is sent.
 
@@ -34,6 +38,7 @@
         """Start without writers."""
         self._connect = connect
         self._is_ending = False
+        self._name = f"w{next(_load_numbers)}"
         self._tasks: list[asyncio.Task[None]] = []
         self.acknowledged: dict[str, float] = {}
         self.errors: list[str] = []
@@ -58,7 +63,7 @@
         for row in itertools.count():
             if self._is_ending:
                 break
-            name = f"w{number}-{row}"
+            name = f"{self._name}-{number}-{row}"
             while name not in self.acknowledged:
                 try:
                     if connection is None:
@@ -295,19 +300,37 @@
         connection = await self._connect(leaving)
         await _run(connection, "BEGIN")
         await _run(connection, "INSERT INTO hires (name) VALUES ('during-stop')")
+        load = _Load(self._connect_ready)
+        load.start()
+        await sleep_s(_LOAD_BEFORE_S)
         stopping = asyncio.ensure_future(self._site.stop_host(leaving))
         await sleep_s(leaving.host.settings.stop.unready_s + 0.2)
         await _run(connection, "INSERT INTO hires (name) VALUES ('during-stop-2')")
         await _run(connection, "COMMIT")
         await stopping
+        await load.finish()
         await _close(connection)
+        await self._check_rows(load)
+        await self._check_stop(load)
+        return (
+            f"Graceful stop: {leaving.host.name} let its open transaction commit; under load "
+            f"{len(load.acknowledged)} writes, {len(load.errors)} callers told to reconnect, 0 cut."
+        )
+
+    async def _check_stop(self, load: _Load) -> None:
+        """Check that the stop refused between requests only, and kept the transaction.
+
+        :raises DemoError: if a request was cut or a row is missing.
+        """
+        cut = [error for error in load.errors if HOST_STOPPING.name not in error]
+        if cut:
+            raise DemoError(f"the stop cut {len(cut)} requests: {cut[0]}")
         other = await self._connect_ready(0)
         text = "SELECT COUNT(*) FROM hires WHERE name LIKE 'during-stop%' FOR UPDATE"
         count = await _value(other, text)
         await _close(other)
         if count != 2:
             raise DemoError(f"{count} of 2 rows of the open transaction are there")
-        return f"Graceful stop: {leaving.host.name} let its open transaction commit, 0 cut."
 
 
 async def run_tour() -> int:
--- a/libs/operations/src/pistachiowinch/operations/host.py
+++ b/libs/operations/src/pistachiowinch/operations/host.py
@@ -5,20 +5,22 @@
 from typing import Any
 
 from reactivex.abc import DisposableBase
-from returns.result import Result
+from returns.result import Failure, Result, Success
 
 from pistachiowinch.base.clock import sleep_s
-from pistachiowinch.base.codes import Refusal
+from pistachiowinch.base.codes import PATCH_INVALID, STORE_UNAVAILABLE, Refusal
 from pistachiowinch.base.identity import NO_INCARNATION, HostIdentity
 from pistachiowinch.base.logs import part_logger
 from pistachiowinch.configuration.document import Configuration
 from pistachiowinch.configuration.patches import Patch
 from pistachiowinch.configuration.site import SiteReplica
+from pistachiowinch.configuration.standing import STANDING_LIMIT_S
 from pistachiowinch.configuration.state import SiteState
 from pistachiowinch.gateway.gateway import Gateway
 from pistachiowinch.gateway.names import SessionNames
 from pistachiowinch.gateway.settings import GatewaySettings
 from pistachiowinch.groups.messages import GroupMessenger
+from pistachiowinch.limits.permits import PermitExchange
 from pistachiowinch.limits.rates import RateEscrow, RateLimit
 from pistachiowinch.limits.retries import RetryBudget
 from pistachiowinch.limits.scheduler import ServiceScheduler
@@ -38,7 +40,10 @@
 
 # Leaving is only a courtesy: the other hosts remove a silent member after 1 s.
 _LEAVE_LIMIT_S = 2.0
-_GAUGE_INTERVAL_S = 0.5
+# A host that answered within the standing limit may still act on the roster.
+_RUNNING_AGE_S = STANDING_LIMIT_S
+# Permits expire after 1 s and loans after 0.25 s in any case.
+_RETURN_LIMIT_S = 1.0
 
 _log = part_logger("host")
 
@@ -89,6 +94,7 @@
         self.rates = RateEscrow(
             host.name, links.peers, self.metrics, read_share=lambda: roster.share
         )
+        self._permits = PermitExchange(links.peers)
         builder = ServiceBuilder(
             links,
             self.membership,
@@ -106,14 +112,14 @@
             self.site.standing,
             self.services,
             self.rates,
-            RetryBudget(),
+            RetryBudget(self.metrics),
             names,
             self.metrics,
             GatewaySettings(statement_timeout_s=self.settings.callers.deadline_s),
         )
 
     def _make_scheduler(self, service: str) -> ServiceScheduler:
-        return ServiceScheduler()
+        return ServiceScheduler(service, self.name, self._permits, self.metrics)
 
     # State --------------------------------------------------------------------------------------
 
@@ -189,6 +195,22 @@
         await self.site.configuration.wait_in_force(version, timeout_s)
         return list(self.site.configuration.members_behind(version))
 
+    async def remove_hosts(self, hosts: frozenset[str]) -> Result[int, Refusal]:
+        """Remove ended hosts from the roster without a majority; see ``RosterReplica.force``."""
+        members = {member.host for member in self.site.roster.current.members}
+        if not hosts or not hosts <= members:
+            return Failure(Refusal(PATCH_INVALID, f"name hosts of {', '.join(sorted(members))}"))
+        # A running host that is forced out could go on with its part of the rates.
+        running = hosts & self.membership.contacts(_RUNNING_AGE_S)
+        if running:
+            detail = f"{', '.join(sorted(running))} still runs; stop it first"
+            return Failure(Refusal(PATCH_INVALID, detail))
+        try:
+            await self.site.roster.force(hosts)
+        except StoreError as error:
+            return Failure(Refusal(STORE_UNAVAILABLE, str(error)))
+        return Success(self.site.roster.current.epoch)
+
     # Changes ------------------------------------------------------------------------------------
 
     def _watched(self, name: str, handle: Callable[[Any], None]) -> Callable[[Any], None]:
@@ -231,7 +253,7 @@
         _log.info("Configuration version {} is in force here.", configuration.version)
 
     def _apply_services(self) -> None:
-        members = len(self.site.roster.current.members)
+        members = [member.host for member in self.site.roster.current.members]
         self.services.apply(self.configuration, members)
 
     async def _follow_configuration(self) -> None:
@@ -272,11 +294,20 @@
         cut = await self.gateway.stop(0.0 if self._has_listeners else self.settings.stop.grace_s)
         if cut:
             _log.warning("{} transactions were rolled back by the stop.", cut)
-        await self.rates.return_loans()
+        await self._return_borrowed()
         await self._leave()
         await self.abort()
         _log.notice("Host {} has stopped.", self.name)
 
+    async def _return_borrowed(self) -> None:
+        """Return tokens and permits; what cannot be returned expires."""
+        try:
+            async with asyncio.timeout(_RETURN_LIMIT_S):
+                await self.services.return_permits()
+                await self.rates.return_loans()
+        except TimeoutError:
+            _log.warning("Borrowed permits or tokens were not returned in time; they expire.")
+
     async def _leave(self) -> None:
         try:
             async with asyncio.timeout(_LEAVE_LIMIT_S):
--- a/libs/operations/src/pistachiowinch/operations/main.py
+++ b/libs/operations/src/pistachiowinch/operations/main.py
@@ -50,8 +50,10 @@
     pretty_exceptions_enable=False,
 )
 patch_app = typer.Typer(help="Read and change the configuration.", no_args_is_help=True)
+roster_app = typer.Typer(help="Change the list of hosts by hand.", no_args_is_help=True)
 key_app = typer.Typer(help="Create keys.", no_args_is_help=True)
 app.add_typer(patch_app, name="patch")
+app.add_typer(roster_app, name="roster")
 app.add_typer(key_app, name="key")
 
 SettingsPath = Annotated[Path, typer.Argument(metavar="SETTINGS.ini", help="Settings file.")]
@@ -230,6 +232,21 @@
             _fail(refusal.message)
 
 
+@roster_app.command("remove")
+def remove(
+    hosts: Annotated[list[str], typer.Argument(help="Hosts that have ended for certain.")],
+    url: UrlOption = _DEFAULT_URL,
+    key_file: KeyFileOption = None,
+) -> None:
+    """Remove ended hosts when too few are left for a majority.
+
+    Hosts that end one by one are removed without this. If a removed host still runs, customers may
+    get more than their rates.
+    """
+    data = _call(_client(url, key_file).remove_hosts(hosts))
+    typer.echo(f"The roster has epoch {data['roster_epoch']}.")
+
+
 @app.command()
 def token(
     text: Annotated[str, typer.Argument(metavar="TOKEN", help="Session token; - reads it.")],
--- a/libs/operations/src/pistachiowinch/operations/operators_client.py
+++ b/libs/operations/src/pistachiowinch/operations/operators_client.py
@@ -1,5 +1,6 @@
 """Client of the operators' HTTP interface, for the command line and the demo."""
 
+from collections.abc import Sequence
 from typing import Any, NamedTuple
 
 import aiohttp
@@ -61,6 +62,14 @@
         path = f"/patches?wait_s={wait_s:g}"
         return await self._call("POST", path, patch, _TIMEOUT_S + wait_s)
 
+    async def remove_hosts(self, hosts: Sequence[str]) -> Result[Any, OperatorsError]:
+        """Remove ended hosts from the roster.
+
+        :param hosts: their names.
+        """
+        body = msgspec.json.encode({"hosts": list(hosts)})
+        return await self._call("POST", "/roster/removals", body, _TIMEOUT_S)
+
     async def _call(
         self, method: str, path: str, body: bytes | None, timeout_s: float
     ) -> Result[Any, OperatorsError]:
--- a/libs/operations/src/pistachiowinch/operations/operators_http.py
+++ b/libs/operations/src/pistachiowinch/operations/operators_http.py
@@ -85,6 +85,18 @@
     async def wait_in_force(self, version: int, timeout_s: float) -> list[str]:
         """Wait until the version is in force; return the hosts that still lack it."""
 
+    async def remove_hosts(self, hosts: frozenset[str]) -> Result[int, Refusal]:
+        """Remove ended hosts from the roster; a success holds the roster's epoch."""
+
+
+class Removal(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Body of ``POST /roster/removals``.
+
+    :param hosts: hosts that the operator knows to have ended.
+    """
+
+    hosts: list[str]
+
 
 def error_body(refusal: Refusal) -> dict[str, Any]:
     """Return a refusal as JSON data.
@@ -157,6 +169,7 @@
                 web.get("/configuration", self._configuration),
                 web.get("/patches", self._patches),
                 web.post("/patches", self._submit),
+                web.post("/roster/removals", self._remove),
                 web.get(_METRICS_PATH, self._metrics),
                 web.get("/healthz", self._healthz),
                 web.get("/readyz", self._readyz),
@@ -265,6 +278,18 @@
         }
         return _json(fields, 202 if lagging else 200)
 
+    async def _remove(self, request: web.Request) -> web.Response:
+        try:
+            removal = msgspec.json.decode(await request.read(), type=Removal)
+        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+            return _refuse(Refusal(MALFORMED_PACKET, f"the body names no hosts: {error}"))
+        match await self._view.remove_hosts(frozenset(removal.hosts)):
+            case Success(epoch):
+                return _json({"roster_epoch": epoch})
+            case Failure(refusal):
+                return _refuse(refusal)
+        return _refuse(Refusal(INTERNAL, "the removal had no result"))
+
     async def _metrics(self, request: web.Request) -> web.Response:
         body = self._view.render_metrics()
         return web.Response(body=body, headers={hdrs.CONTENT_TYPE: _METRICS_TYPE})
--- a/libs/operations/src/pistachiowinch/operations/services.py
+++ b/libs/operations/src/pistachiowinch/operations/services.py
@@ -1,7 +1,7 @@
 """The services of one host: built, changed and removed as the configuration says."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable, Sequence
 
 from reactivex import Observable
 
@@ -116,12 +116,13 @@
             self.group,
         )
 
-    def apply(self, entry: ServiceEntry, members: int) -> None:
-        """Take over targets, slots and connections."""
+    def apply(self, entry: ServiceEntry, members: Sequence[str]) -> None:
+        """Take over targets, slots, connections and the hosts that share them."""
         self._targets = dict(entry["targets"])
         self.group.set_targets(sorted(self._targets))
+        self.scheduler.set_members(members)
         for target, target_entry in self._targets.items():
-            limit = connections_per_host(target_entry["connections"], members)
+            limit = connections_per_host(target_entry["connections"], len(members))
             pool = self.pools.get(target)
             if pool is None:
                 metrics = self._builder.metrics
@@ -168,7 +169,8 @@
         """Start without services."""
         self._builder = builder
         self._services: dict[str, _Service] = {}
-        self._closing: set[asyncio.Task[None]] = set()
+        self._closing: dict[str, asyncio.Task[None]] = {}
+        self._latest: tuple[Configuration, Sequence[str]] | None = None
 
     @property
     def names(self) -> tuple[str, ...]:
@@ -197,28 +199,45 @@
         found = self._services.get(service)
         return None if found is None else found.group
 
-    def apply(self, configuration: Configuration, members: int) -> None:
+    def apply(self, configuration: Configuration, members: Sequence[str]) -> None:
         """Build, change and remove services.
 
         :param configuration: the version in force from now on.
-        :param members: hosts of the roster, which share the targets' connections.
+        :param members: hosts of the roster, which share connections and permits.
         """
+        self._latest = (configuration, members)
         entries = configuration.document["services"]
         for name in set(self._services) - set(entries):
-            self._close(self._services.pop(name).close())
+            self._close(name)
         for name, entry in entries.items():
+            # The handlers of a removed service must be gone before a new one takes its name.
+            if name in self._closing:
+                continue
             if name not in self._services:
                 self._services[name] = _Service(name, entry, self._builder)
             self._services[name].apply(entry, members)
 
+    async def return_permits(self) -> None:
+        """Return all idle permits now, for a planned stop."""
+        for service in list(self._services.values()):
+            await service.scheduler.return_permits()
+
     async def close(self) -> None:
         """Close all services."""
+        self._latest = None
         for name in list(self._services):
-            self._close(self._services.pop(name).close())
+            self._close(name)
         if self._closing:
-            await asyncio.wait(set(self._closing))
-
-    def _close(self, closing: Awaitable[None]) -> None:
-        task = asyncio.ensure_future(closing)
-        self._closing.add(task)
-        task.add_done_callback(self._closing.discard)
+            await asyncio.wait(set(self._closing.values()))
+
+    def _close(self, name: str) -> None:
+        closing = asyncio.ensure_future(self._services.pop(name).close())
+        self._closing[name] = closing
+        closing.add_done_callback(lambda done: self._on_closed(name, done))
+
+    def _on_closed(self, name: str, closing: asyncio.Task[None]) -> None:
+        del self._closing[name]
+        if not closing.cancelled() and closing.exception() is not None:
+            self._builder.parts.report(f"service {name}", closing.exception())
+        elif self._latest is not None and name in self._latest[0].document["services"]:
+            self.apply(*self._latest)
--- a/tests/operations/test_main.py
+++ b/tests/operations/test_main.py
@@ -148,6 +148,13 @@
     assert server.call("patch", "show", "p9").exit_code == 1
 
 
+def test_roster_remove_names_the_hosts(server):
+    result = server.call("roster", "remove", "host-b", "host-c")
+    assert result.exit_code == 0, result.output
+    assert server.view.removed == {"host-b", "host-c"}
+    assert "epoch 4" in result.output
+
+
 def test_unreachable_host_and_unreadable_files(patch_file, tmp_path):
     url = ("--url", "http://127.0.0.1:1")
     assert run("patch", "submit", patch_file, *url).exit_code == 3
--- a/tests/operations/test_operators_http.py
+++ b/tests/operations/test_operators_http.py
@@ -49,6 +49,10 @@
     async def wait_in_force(self, version, timeout_s):
         return self.lagging
 
+    async def remove_hosts(self, hosts):
+        self.removed = hosts
+        return Success(4)
+
 
 class Running:
     """A running server and requests to it."""
@@ -184,6 +188,16 @@
     assert (found, answer["error"]["number"]) == (status, 1005)
 
 
+async def test_removals_need_a_key_and_a_list_of_hosts(running):
+    hosts = {"hosts": ["host-b"]}
+    assert (await running.call("POST", "/roster/removals", hosts, key=""))[0] == 401
+    for body in (b"", b'{"hosts": "host-b"}', b'{"host": ["host-b"]}'):
+        status, answer = await running.call("POST", "/roster/removals", body)
+        assert (status, answer["error"]["number"]) == (400, 1005)
+    assert await running.call("POST", "/roster/removals", hosts) == (200, {"roster_epoch": 4})
+    assert running.view.removed == {"host-b"}
+
+
 async def test_internal_faults_show_no_detail(running):
     def fail():
         raise RuntimeError("secret path")
