--- a/libs/proxy/src/pistachiowinch/proxy/connection.py
+++ b/libs/proxy/src/pistachiowinch/proxy/connection.py
@@ -24,7 +24,18 @@
 from pistachiowinch.links.targets import Answer, Failed
 from pistachiowinch.proxy.interfaces import Gateway
 from pistachiowinch.proxy.login import NATIVE_PLUGIN, make_nonce, verify_password
-from pistachiowinch.proxy.prepared import PreparedStatement, bind, prepare_packets
+from pistachiowinch.proxy.login_packets import (
+    LoginPacket,
+    is_utf8,
+    parse_change_user,
+    parse_login,
+)
+from pistachiowinch.proxy.prepared import (
+    PreparedStatement,
+    bind,
+    prepare_packets,
+    read_query_attributes,
+)
 from pistachiowinch.proxy.runner import Outcome, StatementRunner
 from pistachiowinch.proxy.stream import (
     MAX_STATEMENT_BYTES,
@@ -53,10 +64,6 @@
     DEFAULT_SERVER_CAPABILITIES | Capabilities.CLIENT_LONG_FLAG | Capabilities.CLIENT_TRANSACTIONS
 )
 
-_REQUIRED = Capabilities.CLIENT_PROTOCOL_41 | Capabilities.CLIENT_SECURE_CONNECTION
-# Character sets whose statements and answers are UTF-8, or for which the bytes pass unchanged.
-_UTF8_NAMES = frozenset({"utf8", "utf8mb3", "utf8mb4", "ascii", "binary"})
-_PARSE_ERRORS = (ValueError, IndexError, KeyError, struct.error, TypeError, EOFError, LookupError)
 _NO_ATTRIBUTES = b"\x00\x01"
 
 _log = part_logger("callers")
@@ -98,6 +105,7 @@
         self._login_limit_s = login_limit_s
         self.connection_id: int | None = None
         self._nonce = b""
+        self._collation = 0
         self._is_eof_deprecated = True
         self._has_attributes = False
         self._statements: dict[int, PreparedStatement] = {}
@@ -223,44 +231,22 @@
             auth_plugin_name=NATIVE_PLUGIN,
         )
         await self.stream.write(greeting)
-        response = self._parse_response(await self.stream.read())
-        self.capabilities = CAPABILITIES & response.capabilities
+        login = parse_login(CAPABILITIES, await self.stream.read())
+        self.capabilities = login.capabilities
+        self._collation = login.collation
         self._is_eof_deprecated = bool(self.capabilities & Capabilities.CLIENT_DEPRECATE_EOF)
         self._has_attributes = bool(self.capabilities & Capabilities.CLIENT_QUERY_ATTRIBUTES)
-        if response.client_charset.name not in _UTF8_NAMES:
-            return Refusal(BAD_SESSION_SETTING, "the character set must be utf8mb4")
-        self.session.username = response.username
-        refusal = await self._log_in(
-            response.username,
-            response.auth_response,
-            response.client_plugin,
-            response.database or "",
-            response.connect_attrs,
-        )
+        refusal = await self._log_in(login)
         if refusal is None:
             self.stream.write_many((self._ok(_DONE),))
         return refusal
 
-    def _parse_response(self, data: bytes) -> packets.HandshakeResponse41:
-        try:
-            response = packets.parse_handshake_response(CAPABILITIES, data)
-        except _PARSE_ERRORS as error:
-            raise PacketMalformed("the login packet cannot be read") from error
-        if not isinstance(response, packets.HandshakeResponse41):
-            raise PacketMalformed("TLS is not offered")
-        if response.capabilities & _REQUIRED != _REQUIRED:
-            raise PacketMalformed("the driver is too old")
-        return response
-
-    async def _log_in(
-        self,
-        key_id: str,
-        response: bytes,
-        plugin: str | None,
-        service: str,
-        attributes: dict[str, str],
-    ) -> Refusal | None:
-        if plugin not in (None, "", NATIVE_PLUGIN):
+    async def _log_in(self, login: LoginPacket) -> Refusal | None:
+        if not is_utf8(login.collation):
+            return Refusal(BAD_SESSION_SETTING, "the character set must be utf8mb4")
+        key_id, response = login.user, login.response
+        self.session.username = key_id
+        if login.plugin not in ("", NATIVE_PLUGIN):
             response = await self._switch_plugin()
         credentials = self._gateway.credentials(key_id)
         is_without_key = credentials is None and not response
@@ -268,14 +254,14 @@
             return Refusal(BAD_KEY, "the key id or the key is wrong")
         checked_id = "" if is_without_key else key_id
         self.runner.key_id = checked_id
-        if not service:
+        if not login.database:
             if is_without_key:
                 return Refusal(BAD_KEY, "a login without a key needs a database")
             return None
-        opened = await self.runner.open(checked_id, service)
+        opened = await self.runner.open(checked_id, login.database)
         if isinstance(opened, Failure):
             return opened.failure()
-        applied = self.runner.apply_attributes(attributes)
+        applied = self.runner.apply_attributes(login.attributes)
         return applied.failure() if isinstance(applied, Failure) else None
 
     async def _switch_plugin(self) -> bytes:
@@ -322,12 +308,7 @@
             return data.decode("utf-8", "surrogateescape"), {}
         if data[:2] == _NO_ATTRIBUTES:
             return data[2:].decode("utf-8", "surrogateescape"), {}
-        try:
-            query = packets.parse_com_query(self.capabilities, self.client_charset, data)
-        except _PARSE_ERRORS as error:
-            raise PacketMalformed("the statement packet cannot be read") from error
-        attributes = {str(name): str(value) for name, value in query.query_attrs.items()}
-        return query.sql, attributes
+        return read_query_attributes(data)
 
     async def handle_query(self, data: bytes) -> None:
         """Run a statement.
@@ -396,23 +377,13 @@
 
         :param data: the packet after its command byte.
         """
-        try:
-            change = packets.parse_com_change_user(self.capabilities, self.client_charset, data)
-        except _PARSE_ERRORS as error:
-            raise PacketMalformed("the login packet cannot be read") from error
+        change = parse_change_user(self.capabilities, self._collation, data)
         self._statements.clear()
         await self.runner.close()
         self.runner = StatementRunner(self._gateway)
-        self.session.username = change.username
         try:
             async with asyncio.timeout(self._login_limit_s):
-                refusal = await self._log_in(
-                    change.username,
-                    change.auth_response,
-                    change.client_plugin,
-                    change.database or "",
-                    change.connect_attrs or {},
-                )
+                refusal = await self._log_in(change)
         except TimeoutError:
             refusal = self._slow_login()
         if refusal is not None:
--- a/libs/proxy/src/pistachiowinch/proxy/prepared.py
+++ b/libs/proxy/src/pistachiowinch/proxy/prepared.py
@@ -9,10 +9,16 @@
 import struct
 
 from pistachiowinch.proxy.classify import placeholder_offsets
+from pistachiowinch.proxy.reader import PacketReader
 from pistachiowinch.proxy.stream import MAX_STATEMENT_BYTES, PacketMalformed, PacketTooLarge
-from pistachiowinch.targets.rows import read_length_encoded
 
-__all__ = ["MAX_PARAMETERS", "PreparedStatement", "bind", "prepare_packets"]
+__all__ = [
+    "MAX_PARAMETERS",
+    "PreparedStatement",
+    "bind",
+    "prepare_packets",
+    "read_query_attributes",
+]
 
 # The count has two bytes in the protocol.
 MAX_PARAMETERS = 65_535
@@ -95,35 +101,6 @@
     return packets
 
 
-class _Reader:
-    """Reads fields of one packet and fails on a short packet."""
-
-    def __init__(self, payload: bytes, offset: int) -> None:
-        self.payload = payload
-        self.offset = offset
-
-    def take(self, size_bytes: int) -> bytes:
-        end = self.offset + size_bytes
-        if end > len(self.payload):
-            raise PacketMalformed("the packet ends inside a parameter")
-        raw = self.payload[self.offset : end]
-        self.offset = end
-        return raw
-
-    def unpack(self, layout: str) -> tuple:
-        return struct.unpack(layout, self.take(struct.calcsize(layout)))
-
-    def length(self) -> int:
-        try:
-            value, self.offset = read_length_encoded(self.payload, self.offset)
-        except ValueError as error:
-            raise PacketMalformed(str(error)) from error
-        return value
-
-    def sized(self) -> bytes:
-        return self.take(self.length())
-
-
 def bind(statement: PreparedStatement, data: bytes, has_query_attributes: bool) -> str:
     """Write an execution's parameters into the statement's text.
 
@@ -135,7 +112,7 @@
     """
     if statement.is_too_long:
         raise PacketTooLarge("the parameters are too large")
-    reader = _Reader(data, 4)
+    reader = PacketReader(data, 4)
     flags, _ = reader.unpack("<BI")
     count = statement.parameter_count
     has_named = has_query_attributes and bool(flags & _QUERY_ATTRIBUTES_FLAG)
@@ -154,7 +131,40 @@
     return _join(statement, literals)
 
 
-def _read_types(reader: _Reader, count: int, has_names: bool) -> list[int]:
+def read_query_attributes(data: bytes) -> tuple[str, dict[str, str]]:
+    """Split COM_QUERY of a caller that negotiated query attributes.
+
+    :param data: the packet after its command byte.
+    :returns: the statement and the attributes.
+    :raises PacketMalformed: if the attributes are malformed.
+    """
+    reader = PacketReader(data)
+    count = reader.length()
+    reader.length()
+    attributes: dict[str, str] = {}
+    if count > MAX_PARAMETERS:
+        raise PacketMalformed("there are too many attributes")
+    if count:
+        nulls = reader.take((count + 7) // 8)
+        if reader.take(1) != b"\x01":
+            raise PacketMalformed("the attributes have no types")
+        heads = [(reader.unpack("<H")[0], reader.sized()) for _ in range(count)]
+        for index, (type_code, name) in enumerate(heads):
+            if nulls[index // 8] >> index % 8 & 1:
+                continue
+            attributes[name.decode("utf-8", "replace")] = _read_text(reader, type_code)
+    return reader.rest().decode("utf-8", "surrogateescape"), attributes
+
+
+def _read_text(reader: PacketReader, type_code: int) -> str:
+    kind = type_code & 0xFF
+    is_number = kind in _INTEGERS or kind in _FLOATS or kind == _YEAR_TYPE
+    if is_number or kind in _DATE_TYPES or kind in (_TIME_TYPE, _NULL_TYPE):
+        return _literal(reader, type_code).strip(" '")
+    return reader.sized().decode("utf-8", "replace")
+
+
+def _read_types(reader: PacketReader, count: int, has_names: bool) -> list[int]:
     types: list[int] = []
     for _ in range(count):
         (type_code,) = reader.unpack("<H")
@@ -164,7 +174,9 @@
     return types
 
 
-def _read_literal(statement: PreparedStatement, reader: _Reader, nulls: bytes, index: int) -> str:
+def _read_literal(
+    statement: PreparedStatement, reader: PacketReader, nulls: bytes, index: int
+) -> str:
     type_code = statement.types[index]
     long_value = statement.long_data.get(index)
     if long_value is not None:
@@ -185,8 +197,10 @@
     return text
 
 
-def _literal(reader: _Reader, type_code: int) -> str:
+def _literal(reader: PacketReader, type_code: int) -> str:
     kind = type_code & 0xFF
+    if kind == _NULL_TYPE:
+        return "NULL"
     if kind in _INTEGERS:
         signed, unsigned = _INTEGERS[kind]
         layout = unsigned if type_code & _UNSIGNED_FLAG else signed
@@ -213,7 +227,7 @@
     return _spaced(repr(number))
 
 
-def _date_literal(reader: _Reader, kind: int) -> str:
+def _date_literal(reader: PacketReader, kind: int) -> str:
     size_bytes = reader.take(1)[0]
     if size_bytes == 0:
         return "'0000-00-00'" if kind == _DATE_ONLY_TYPE else "'0000-00-00 00:00:00'"
@@ -229,7 +243,7 @@
     return f"'{text}'"
 
 
-def _time_literal(reader: _Reader) -> str:
+def _time_literal(reader: PacketReader) -> str:
     size_bytes = reader.take(1)[0]
     if size_bytes == 0:
         return "'00:00:00'"
--- /dev/null
+++ b/tests/proxy/test_fuzz.py
@@ -0,0 +1,162 @@
+"""Guards the process against callers that send anything at all, with fixed seeds.
+
+Damaged logins and commands must never reach the handler for the host's own defects, and must leave
+no session and no task behind.
+"""
+
+import asyncio
+import random
+import struct
+
+import pytest
+from proxy.edge_support import FakeGateway, RawClient
+
+from pistachiowinch.proxy.server import CallerServer
+from pistachiowinch.proxy.stream import PacketStream
+
+pytestmark = pytest.mark.looptime
+
+COMMANDS = (
+    b"\x03SELECT 1",
+    b"\x03SET pistachiowinch_request_id='a'",
+    b"\x03SET autocommit=0",
+    b"\x03INSERT INTO t VALUES (1, 'a')",
+    b"\x02stock",
+    b"\x0e",
+    b"\x11key-1\x00\x00hire\x00\x2d\x00mysql_native_password\x00\x00",
+    b"\x16SELECT ?, ? FROM t",
+    b"\x17\x01\x00\x00\x00\x00\x01\x00\x00\x00\x00\x01\x08\x00\xfd\x00" + b"\x01" * 8 + b"\x01a",
+    b"\x18\x01\x00\x00\x00\x01\x00abc",
+    b"\x1a\x01\x00\x00\x00",
+    b"\x1f",
+    b"\x04t\x00%",
+)
+
+
+class FakeTransport:
+    """Collects what the server sends."""
+
+    def __init__(self):
+        """Start open."""
+        self.sent = bytearray()
+        self.protocol = None
+        self.is_closed = False
+
+    def get_extra_info(self, name):
+        """Return no socket."""
+
+    def write(self, data):
+        """Keep the bytes."""
+        self.sent += data
+
+    def pause_reading(self):
+        """Ignore the call."""
+
+    def resume_reading(self):
+        """Ignore the call."""
+
+    def can_write_eof(self):
+        """Half-closing is not simulated."""
+        return False
+
+    def is_closing(self):
+        """Tell whether the transport was closed."""
+        return self.is_closed
+
+    def close(self):
+        """Report the loss as a real transport does."""
+        if not self.is_closed:
+            self.is_closed = True
+            asyncio.get_running_loop().call_soon(self.protocol.connection_lost, None)
+
+    abort = close
+
+
+def damage(raw, source):
+    data = bytearray(raw)
+    for _ in range(source.choice((0, 1, 1, 2, 5))):
+        action = source.randrange(3)
+        position = source.randrange(len(data) + 1)
+        if action == 0 and data:
+            data[position % len(data)] = source.randrange(256)
+        elif action == 1:
+            del data[position : position + source.randrange(4)]
+        else:
+            data[position:position] = source.randbytes(source.randrange(4))
+    return bytes(data)
+
+
+def framed(payload, seq):
+    return struct.pack("<I", len(payload) | seq << 24) + payload
+
+
+async def settle():
+    for _ in range(8):
+        await asyncio.sleep(0)
+
+
+def connect(server):
+    transport = FakeTransport()
+    stream = PacketStream(server.accept)
+    transport.protocol = stream
+    stream.connection_made(transport)
+    return transport, stream
+
+
+def login_packet(transport):
+    client = RawClient(None, None)
+    greeting = bytes(transport.sent[4:])
+    rest = greeting[greeting.index(b"\x00", 1) + 5 :]
+    client.nonce = rest[:8] + rest[27:39]
+    return client.response("key-1", "secret-1", "hire", attributes={"pistachiowinch_session": "s"})
+
+
+async def finish(server, gateway, transport):
+    transport.close()
+    await asyncio.sleep(10.0)
+    assert server.connection_count == 0
+    assert gateway.open_sessions == []
+    assert b"PW9001" not in transport.sent
+
+
+@pytest.mark.parametrize("seed", range(150))
+async def test_damaged_logins(seed):
+    source = random.Random(seed)
+    gateway = FakeGateway()
+    server = CallerServer(gateway)
+    transport, stream = connect(server)
+    await settle()
+    stream.data_received(framed(damage(login_packet(transport), source), 1))
+    await settle()
+    await finish(server, gateway, transport)
+
+
+@pytest.mark.parametrize("seed", range(150))
+async def test_damaged_commands(seed):
+    source = random.Random(seed)
+    gateway = FakeGateway()
+    server = CallerServer(gateway)
+    transport, stream = connect(server)
+    await settle()
+    stream.data_received(framed(login_packet(transport), 1))
+    await settle()
+    assert len(gateway.open_sessions) == 1
+    for _ in range(20):
+        if transport.is_closed:
+            break
+        raw = damage(source.choice(COMMANDS), source)
+        stream.data_received(framed(raw, 0))
+        await settle()
+    await finish(server, gateway, transport)
+
+
+@pytest.mark.parametrize("seed", range(30))
+async def test_bytes_without_any_structure(seed):
+    source = random.Random(seed)
+    gateway = FakeGateway()
+    server = CallerServer(gateway)
+    transport, stream = connect(server)
+    await settle()
+    stream.data_received(source.randbytes(source.randrange(1, 2000)))
+    await settle()
+    await finish(server, gateway, transport)
