--- a/libs/measure/src/pistachiowinch/measure/caller.py
+++ b/libs/measure/src/pistachiowinch/measure/caller.py
@@ -79,6 +79,16 @@
         self._seq = 0
         self._acknowledged_seq = 0
 
+    @property
+    def host(self) -> str:
+        """The host that the caller is connected to; empty without a connection."""
+        return self._host
+
+    @property
+    def is_disconnected(self) -> bool:
+        """Whether the next request needs a new connection."""
+        return self._session is None or self._session.ended is not None
+
     async def _connected(self, host: str | None) -> Session | None:
         hosts = self._site.hosts
         if host is not None and host != self._host:
--- /dev/null
+++ b/libs/measure/src/pistachiowinch/measure/reads.py
@@ -0,0 +1,158 @@
+"""Share of eligible reads that replicas serve while they lag, against primary-only reads."""
+
+import asyncio
+from collections import Counter
+from typing import Annotated, NamedTuple
+
+import typer
+
+from pistachiowinch.base.clock import sleep_s
+from pistachiowinch.base.tokens import decode_token
+from pistachiowinch.measure.caller import Caller, Event, EventKind, Outcome
+from pistachiowinch.measure.deployment import DEPLOYMENTS, Deployment
+from pistachiowinch.measure.site import MeasuredSite, run_paused
+
+__all__ = ["ReadFigures", "measure_reads"]
+
+_LAG_S = 0.5
+_CALLERS = 24
+_RUN_S = 20.0
+_THINK_S = 0.1
+_WRITE_SHARE = 0.1
+_WARM_UP_S = 2.0
+
+
+class ReadFigures(NamedTuple):
+    """Figures of one run.
+
+    :param eligible: reads for which some replica held the session's newest write when they began.
+    :param served_by_replicas: eligible reads that a replica served.
+    :param read_p50_ms: median time of a read, from the caller to the answer.
+    """
+
+    deployment: str
+    seed: int
+    is_baseline: bool
+    reads: int
+    eligible: int
+    served_by_replicas: int
+    stale: int
+    read_p50_ms: float
+
+    @property
+    def share(self) -> float:
+        """Share of eligible reads served by replicas."""
+        return self.served_by_replicas / self.eligible if self.eligible else 0.0
+
+
+class _CountingCaller(Caller):
+    """Notes for each read whether a replica could have served it, and which target did."""
+
+    def __init__(self, *arguments: object) -> None:
+        """Start with empty counts."""
+        super().__init__(*arguments)
+        self.counts: Counter[str] = Counter()
+
+    def _is_eligible(self) -> bool:
+        group = self._site.groups[self.service]
+        primary = self._site.primary(self.service)
+        position = decode_token(self._token).unwrap().position if self._token else 0
+        statuses = group.statuses()
+        return any(
+            status.applied_position >= position
+            for target, status in statuses.items()
+            if target != primary
+        )
+
+    async def counted_read(self) -> None:
+        """Read once and count by which kind of target it was served."""
+        is_eligible = self._is_eligible()
+        sent_before = len(self._site.sent)
+        event = await self.read()
+        if event.outcome is not Outcome.DONE or not is_eligible:
+            return
+        self.counts["eligible"] += 1
+        primary = self._site.primary(self.service)
+        own = f"caller = '{self.name}'"
+        served = [
+            sent.target
+            for sent in self._site.sent[sent_before:]
+            if own in sent.text and sent.text.startswith("SELECT")
+        ]
+        self.counts["replica"] += bool(served) and served[-1] != primary
+
+
+async def _run_caller(site: MeasuredSite, caller: _CountingCaller, is_baseline: bool) -> None:
+    while True:
+        await sleep_s(site.random.expovariate(1 / _THINK_S))
+        if site.random.random() < _WRITE_SHARE:
+            await caller.write(site.random.choice(sorted(site.hosts)))
+            continue
+        if is_baseline and caller._session is not None:
+            caller._session.is_token_doubtful = True
+        await caller.counted_read()
+
+
+async def _measure(deployment: Deployment, seed: int, is_baseline: bool) -> ReadFigures:
+    site = await MeasuredSite(deployment, seed).start()
+    for service, group in site.groups.items():
+        for target in group.targets:
+            if target != site.primary(service):
+                group.set_lag(target, receive_s=0.0, apply_s=_LAG_S)
+    history: list[Event] = []
+    customers, services = deployment.customer_names, deployment.service_names
+    callers = [
+        _CountingCaller(
+            site,
+            f"caller-{number}",
+            customers[number % len(customers)],
+            services[number % len(services)],
+            history,
+        )
+        for number in range(_CALLERS)
+    ]
+    await sleep_s(_WARM_UP_S)
+    tasks = [asyncio.ensure_future(_run_caller(site, one, is_baseline)) for one in callers]
+    await sleep_s(_RUN_S)
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    counts: Counter[str] = Counter()
+    for caller in callers:
+        counts.update(caller.counts)
+    reads = [event for event in history if event.kind is EventKind.READ]
+    done = [event for event in reads if event.outcome is Outcome.DONE]
+    durations = sorted(event.ended_s - event.started_s for event in done)
+    figures = ReadFigures(
+        deployment.name,
+        seed,
+        is_baseline,
+        len(reads),
+        counts["eligible"],
+        counts["replica"],
+        sum(event.seq < event.expected_seq for event in done),
+        round(durations[len(durations) // 2] * 1000, 2),
+    )
+    await site.close()
+    return figures
+
+
+def measure_reads(deployment: Deployment, seed: int, is_baseline: bool = False) -> ReadFigures:
+    """Run readers and writers while replicas apply writes 500 ms late.
+
+    :param deployment: the sizes.
+    :param seed: seed of the callers.
+    :param is_baseline: all reads go to a confirmed primary.
+    """
+    return run_paused(lambda: _measure(deployment, seed, is_baseline))
+
+
+def _main(seed: Annotated[int, typer.Option(help="Seed of the callers.")] = 1) -> None:
+    for deployment in DEPLOYMENTS:
+        for is_baseline in (False, True):
+            figures = measure_reads(deployment, seed, is_baseline)
+            print(figures, round(figures.share, 4))
+
+
+if __name__ == "__main__":
+    typer.run(_main)
