--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 	$(VENV)/bin/pistachiowinch demo --check
 
 test: $(STAMP)
-	$(VENV)/bin/python -m pytest
+	$(VENV)/bin/python -m pytest -n auto --dist worksteal
 
 format: $(STAMP)
 	$(VENV)/bin/black --quiet $(SOURCES)
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,13 @@
+"""Prints the figures that tests record, also when tests run in several processes."""
+
+_PROPERTY = "figure"
+
+
+def pytest_terminal_summary(terminalreporter):
+    """Print every recorded figure after the tests."""
+    reports = terminalreporter.getreports("passed") + terminalreporter.getreports("failed")
+    lines = sorted(
+        value for report in reports for name, value in report.user_properties if name == _PROPERTY
+    )
+    for line in lines:
+        terminalreporter.write_line(line)
--- a/tests/model/test_checker.py
+++ b/tests/model/test_checker.py
@@ -50,13 +50,13 @@
 
 
 @pytest.mark.parametrize("case", COMPLETE, ids=lambda case: case.specification.name)
-def test_the_complete_protocol_keeps_its_invariants(case, capsys):
+def test_the_complete_protocol_keeps_its_invariants(case, record_property):
     result = check(case.specification, case.depth_steps)
-    with capsys.disabled():
-        print(
-            f"\n[model] {result.specification}: {result.scope}, {result.action_count} actions, "
-            f"all behaviours of up to {result.depth_steps} steps, {result.run_time_s:.1f} s"
-        )
+    record_property(
+        "figure",
+        f"model: {result.specification}: {result.scope}, {result.action_count} actions, "
+        f"all behaviours of up to {result.depth_steps} steps, {result.run_time_s:.1f} s",
+    )
     assert result.trace is None, result.trace.text
 
 
