Test roster, standing and configuration over the real membership

Cause: the tests used fakes of the membership and of the network, and three guards of a patch's outcome could be removed without a failing test. Change: the test site uses peering.membership and standins.peer_network; the tests of a lost reply, a late transaction and a late member isolate one guard each. Conclusion: the site's invariants hold over the membership that hosts use.

--- a/tests/configuration/site_world.py
+++ b/tests/configuration/site_world.py
@@ -1,56 +1,76 @@
 """A site of hosts over one in-memory store, with faults, for the tests of this directory.
 
-Uses small fakes of the membership and of the peer network, with loss, delay, duplication,
-partitions and pauses. A paused host neither sends nor receives anything, and nobody asks it.
+A paused host neither sends nor receives anything, and nobody asks it.
 """
 
 import asyncio
 import random
-from collections import Counter
 from contextlib import asynccontextmanager
 
-import msgspec
-from reactivex.subject import Subject
-
 from pistachiowinch.base.clock import now_s, sleep_s
 from pistachiowinch.base.identity import HostIdentity
 from pistachiowinch.configuration.patches import Patch, PatchOperation
 from pistachiowinch.configuration.site import SiteReplica
 from pistachiowinch.configuration.state import SiteState
-from pistachiowinch.links.peers import PeerUnreachable
-from pistachiowinch.peering.messages import Heartbeat, ReceivedHeartbeat
+from pistachiowinch.links.hosts import ListedHost
+from pistachiowinch.peering.membership import HEARTBEAT_INTERVAL_S, Membership
+from pistachiowinch.peering.messages import LocalState
 from pistachiowinch.standins.memory_store import MemoryStore
+from pistachiowinch.standins.peer_network import NetworkFaults, PeerNetwork
+
+HEARTBEAT_S = HEARTBEAT_INTERVAL_S
+
 
-HEARTBEAT_S = 0.2
+def address(name):
+    return f"tcp://{name}:1"
 
 
 class Network:
-    """Carries encoded messages between hosts and loses, doubles and delays them."""
+    """The in-memory peer network, with faults as attributes."""
 
     def __init__(self, seed=0):
-        self.rng = random.Random(seed)
-        self.loss = self.duplication = 0.0
-        self.delay_s = 0.0005
-        self.cuts = set()
-        self.links = {}
-        self.counts = Counter()
-
-    def cut(self, group, others):
-        self.cuts |= {pair for a in group for b in others for pair in ((a, b), (b, a))}
-
-    def carry(self, sender, receiver, deliver):
-        self.counts["sent"] += 1
-        if self.rng.random() < self.loss:
-            return
-        for _ in range(1 + (self.rng.random() < self.duplication)):
-            delay_s = self.delay_s * self.rng.uniform(0.5, 1.5)
-            asyncio.get_running_loop().call_later(delay_s, self._arrive, sender, receiver, deliver)
-
-    def _arrive(self, sender, receiver, deliver):
-        link = self.links.get(receiver)
-        if link is None or (sender, receiver) in self.cuts:
-            return
-        link.gate.pass_on(lambda: deliver(link))
+        self.peers = PeerNetwork(seed)
+        self._faults = NetworkFaults()
+        self._delay_s = 0.0005
+
+    @property
+    def loss(self):
+        return self._faults.loss
+
+    @loss.setter
+    def loss(self, loss):
+        self._set(self._faults._replace(loss=loss))
+
+    @property
+    def duplication(self):
+        return self._faults.duplication
+
+    @duplication.setter
+    def duplication(self, duplication):
+        self._set(self._faults._replace(duplication=duplication))
+
+    @property
+    def delay_s(self):
+        return self._delay_s
+
+    @delay_s.setter
+    def delay_s(self, delay_s):
+        """Delay messages by up to three times the time; they overtake each other."""
+        self._delay_s = delay_s
+        self.peers.set_one_way_delay(delay_s / 2)
+        self._set(self._faults._replace(reordering=0.5, extra_delay_s=delay_s))
+
+    def _set(self, faults):
+        self._faults = faults
+        self.peers.set_faults(faults)
+
+    def cut(self, group, others, is_one_way=False):
+        for one in group:
+            for other in others:
+                self.peers.cut(one, other, is_one_way)
+
+    def heal(self):
+        self.peers.heal_all()
 
 
 class Gate:
@@ -76,134 +96,14 @@
             await opened.wait()
 
 
-class Link:
-    """``PeerLink`` of one run of one host."""
-
-    def __init__(self, network, host, gate):
-        self.network, self.host, self.gate = network, host, gate
-        self.handlers = {}
-        network.links[host] = self
-
-    def on_message(self, message_type, handler):
-        self.handlers[message_type] = handler
-
-    def on_request(self, message_type, answer_type, handler):
-        self.handlers[message_type] = handler
-
-    async def send(self, host, message):
-        data = msgspec.msgpack.encode(message)
-        kind = type(message)
-
-        def deliver(link):
-            if kind in link.handlers:
-                link.handlers[kind](self.host, msgspec.msgpack.decode(data, type=kind))
+class Hosts:
+    """The platform's list: all hosts that the world knows."""
 
-        self.gate.pass_on(lambda: self.network.carry(self.host, host, deliver))
+    def __init__(self, world):
+        self._world = world
 
-    async def request(self, host, message, timeout_s):
-        future = asyncio.get_running_loop().create_future()
-        data, kind = msgspec.msgpack.encode(message), type(message)
-        answers = []
-
-        def deliver(link):
-            if kind in link.handlers:
-                decoded = msgspec.msgpack.decode(data, type=kind)
-                answers.append(asyncio.create_task(answer(link, decoded)))
-
-        async def answer(link, decoded):
-            reply = await link.handlers[kind](self.host, decoded)
-            back, reply_kind = msgspec.msgpack.encode(reply), type(reply)
-
-            def resolve(own):
-                if own is self and not future.done():
-                    future.set_result(msgspec.msgpack.decode(back, type=reply_kind))
-
-            link.gate.pass_on(lambda: link.network.carry(link.host, self.host, resolve))
-
-        self.gate.pass_on(lambda: self.network.carry(self.host, host, deliver))
-        try:
-            async with asyncio.timeout(timeout_s):
-                return await future
-        except TimeoutError:
-            await self.gate.wait()
-            raise PeerUnreachable(host) from None
-
-
-class Membership:
-    """Heartbeats to every host of the world, dated by echo."""
-
-    def __init__(self, link, state, local, hosts):
-        self._link, self._state, self._local, self._hosts = link, state, local, hosts
-        self._sequence = link.network.rng.randrange(1 << 40)
-        self._sent_s = {}
-        self._last = {}
-        self._known_since_s = {}
-        self._evidence_s = {}
-        self._newest_echo = {}
-        self._beats = Subject()
-        link.on_message(Heartbeat, self._receive)
-
-    @property
-    def heartbeats(self):
-        return self._beats
-
-    @property
-    def suspected_hosts(self):
-        return frozenset(
-            member.host
-            for member in self._state.record.members
-            if member.host != self._link.host and now_s() - self._heard_s(member.host) > 1.0
-        )
-
-    def _heard_s(self, host):
-        known_s = self._known_since_s.setdefault(host, now_s())
-        last = self._last.get(host)
-        return max(known_s, last.received_s if last else known_s)
-
-    def last_heartbeat(self, host):
-        return self._last.get(host)
-
-    def contacts(self, within_s):
-        fresh = {host for host, s in self._evidence_s.items() if s > now_s() - within_s}
-        return frozenset(fresh | {self._link.host})
-
-    async def run(self):
-        while True:
-            for host in self._hosts:
-                if host != self._link.host:
-                    await self._link.send(host, self._heartbeat(host))
-            await sleep_s(HEARTBEAT_S)
-
-    def _heartbeat(self, host):
-        self._sequence += 1
-        epoch, version, age_ms, pending = self._local()
-        last = self._last.get(host)
-        echo = (last.heartbeat.sequence, last.heartbeat.incarnation) if last else (0, 0)
-        own = self._state.identity
-        self._sent_s[self._sequence] = (now_s(), own.incarnation)
-        suspected = tuple(sorted(self.suspected_hosts))
-        return Heartbeat(
-            *(own.host, own.incarnation, self._sequence, *echo, epoch, version, age_ms),
-            suspected_hosts=suspected,
-            config_pending=pending,
-        )
-
-    def _receive(self, sender, beat):
-        last = self._last.get(sender)
-        order = (beat.incarnation, beat.sequence)
-        is_old = last and order <= (last.heartbeat.incarnation, last.heartbeat.sequence)
-        # A run without incarnation proves by its echo that its heartbeat is not a delayed one.
-        is_new_run = beat.incarnation == 0 and beat.echo > self._newest_echo.get(sender, 0)
-        if is_old and not is_new_run:
-            return
-        self._newest_echo[sender] = max(beat.echo, self._newest_echo.get(sender, 0))
-        sent = self._sent_s.get(beat.echo)
-        is_own = sent is not None and sent[1] == beat.echo_incarnation
-        evidence_s = sent[0] if is_own else None
-        if evidence_s is not None:
-            self._evidence_s[sender] = max(evidence_s, self._evidence_s.get(sender, evidence_s))
-        self._last[sender] = ReceivedHeartbeat(beat, now_s(), evidence_s)
-        self._beats.on_next(self._last[sender])
+    async def hosts(self):
+        return tuple(ListedHost(name, address(name), False) for name in self._world.names)
 
 
 class GatedStore:
@@ -234,12 +134,10 @@
     def __init__(self, world, name):
         self.world, self.name, self.gate = world, name, Gate()
         self.client = world.store.client()
-        identity = HostIdentity(name, 0, "z1", f"tcp://{name}:1")
+        identity = HostIdentity(name, 0, "z1", address(name))
         self.state = SiteState(world.site, identity)
-        self.link = Link(world.network, name, self.gate)
-        self.membership = Membership(
-            self.link, self.state, lambda: self.replica.local_versions, world.names
-        )
+        self.link = world.network.peers.link(name)
+        self.membership = Membership(identity, self.link, self.local_state, Hosts(world))
         self.replica = SiteReplica(
             self.state,
             GatedStore(self.client, self.gate),
@@ -249,8 +147,16 @@
         )
         self.roster, self.configuration = self.replica.roster, self.replica.configuration
         self.standing = self.replica.standing
+        self.state.identities.subscribe(self.membership.set_identity)
+        self.roster.changes.subscribe(
+            lambda _: self.membership.set_members(self.roster.correspondents)
+        )
         self.tasks = [asyncio.create_task(part.run()) for part in (self.membership, self.replica)]
 
+    def local_state(self):
+        epoch, version, age_ms, pending = self.replica.local_versions
+        return LocalState(epoch, version, age_ms, (), {}, pending)
+
     @property
     def share(self):
         return 0.0 if self.gate.is_closed else self.roster.share
@@ -265,17 +171,19 @@
 
     def pause(self):
         self.gate.is_closed = True
+        self.world.network.peers.pause(self.name)
 
     def resume(self):
         self.gate.open()
+        self.world.network.peers.resume(self.name)
 
     async def crash(self):
+        if self.world.hosts.get(self.name) is self:
+            self.world.network.peers.detach(self.name)
+            del self.world.hosts[self.name]
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
-        if self.world.network.links.get(self.name) is self.link:
-            del self.world.network.links[self.name]
-        self.world.hosts.pop(self.name, None)
 
 
 class World:
--- a/tests/configuration/test_faults.py
+++ b/tests/configuration/test_faults.py
@@ -152,14 +152,11 @@
     def cut(self, group, is_one_way):
         others = set(NAMES) - group
         network = self.world.network
-        if is_one_way:
-            network.cuts |= {(a, b) for a in group for b in others}
-        else:
-            network.cut(group, others)
+        network.cut(group, others, is_one_way)
 
     @rule()
     def heal(self):
-        self.world.network.cuts.clear()
+        self.world.network.heal()
 
     @rule(
         loss=st.sampled_from([0.0, 0.1, 0.4]),
@@ -211,7 +208,7 @@
     def recover(self):
         """Every combination of faults ends with a settled site once the faults have ended."""
         world = self.world
-        world.network.cuts.clear()
+        world.network.heal()
         world.network.loss = world.network.duplication = 0.0
         world.network.delay_s = 0.0005
         world.store.faults.delay_s = 0.0
--- a/tests/configuration/test_replica.py
+++ b/tests/configuration/test_replica.py
@@ -138,6 +138,7 @@
     async with settled_site() as world:
         host = world.hosts["a"]
         revision = world.store.revision
+        world.store.faults.silence_watches()
         host.client.faults.lost_replies = 1
         submission = asyncio.create_task(host.configuration.submit(rate_patch("p1", 0)))
         await world.until(lambda: world.store.revision > revision, step_s=0.0002)
@@ -154,12 +155,17 @@
         host = world.hosts["a"]
         submission = asyncio.create_task(host.configuration.submit(rate_patch("p1", 0)))
         await world.until(lambda: host.state.doubts, step_s=0.0002)
-        # Only the transaction is slow: it arrives 3 s after it was sent.
+        # Only the transaction is slow: it arrives 0.25 s after it was sent, which is after the
+        # client gave it up and before any member in doubt would settle the outcome by itself.
         sent = host.client.calls["transact"]
-        host.client.faults.delay_s = 6.0
+        host.client._timeout_s = 0.2
+        host.client.faults.delay_s = 0.5
         await world.until(lambda: host.client.calls["transact"] > sent, step_s=0.0002)
         host.client.faults.delay_s = 0.0
         world.network.cut("a", "bcde")
+        for name in "bcde":
+            # The others cannot settle the outcome either.
+            world.hosts[name].client.faults.is_down = True
         refused = (await submission).failure()
         assert (refused.code, refused.code.ran) == (codes.NO_MAJORITY, codes.Ran.NO)
         await sleep_s(10.0)
@@ -173,6 +179,26 @@
         assert world.store.apply_get(world.hosts["a"].state.keys.head) is None
 
 
+async def test_member_that_joins_after_the_agreement_ends_the_attempt():
+    """Guards against a member that has not noted the patch and confirms the old version."""
+    async with settled_site() as world:
+        host = world.hosts["a"]
+        world.network.delay_s = 0.1
+        sent = host.client.calls["transact"]
+        submission = asyncio.create_task(host.configuration.submit(rate_patch("p1", 0)))
+        await world.until(lambda: host.state.doubts, step_s=0.0002)
+        epoch, revision = host.roster.current.epoch, host.state.roster_revision
+        world.names = (*world.names, "f")
+        world.start("f")
+        await world.until(
+            lambda: world.store.apply_get(host.state.keys.roster).mod_revision > revision,
+            step_s=0.0002,
+        )
+        assert host.roster.current.epoch == epoch
+        assert (await submission).unwrap().version == 1
+        assert host.client.calls["transact"] - sent == 2
+
+
 async def test_store_down_refuses_patches_as_not_accepted_and_keeps_standing():
     async with settled_site() as world:
         world.store.faults.is_down = True
--- a/tests/configuration/test_roster.py
+++ b/tests/configuration/test_roster.py
@@ -39,8 +39,6 @@
 async def test_new_member_generates_nothing_before_its_epoch_is_active():
     async with settled_site() as world:
         world.names = (*world.names, "f")
-        for host in world.hosts.values():
-            host.membership._hosts = world.names
         world.start("f")
         await world.until(lambda: world.hosts["f"].roster.is_member)
         assert world.hosts["f"].share == 0.0
@@ -122,7 +120,7 @@
         assert not world.hosts["d"].has_standing
         for name in "de":
             world.hosts[name].client.faults.is_down = False
-        world.network.cuts.clear()
+        world.network.heal()
         await world.until(world.is_settled)
 
 
