Find a session's connection without a search

Cause: ending all sessions of a zone searched all connections for each of them. Change: connections are kept by session number. Conclusion: ending is linear in the number of sessions.

--- a/libs/proxy/src/pistachiowinch/proxy/connection.py
+++ b/libs/proxy/src/pistachiowinch/proxy/connection.py
@@ -52,6 +52,7 @@
     ok_packet,
     unchanged_rows,
 )
+from pistachiowinch.routing.session import Session
 
 __all__ = ["CAPABILITIES", "LOGIN_LIMIT_S", "CallerConnection", "CallerSession"]
 
@@ -88,6 +89,7 @@
     :param stream: the caller's packets.
     :param control: numbers the connections.
     :param gateway: runs the statements.
+    :param by_session: connections by the numbers of their sessions; kept up to date here.
     :param login_limit_s: time for the whole login.
     """
 
@@ -96,12 +98,14 @@
         stream: PacketStream,
         control: Control,
         gateway: Gateway,
+        by_session: dict[int, "CallerConnection"],
         login_limit_s: float = LOGIN_LIMIT_S,
     ) -> None:
         """Start before the handshake."""
         super().__init__(stream, CallerSession(), control, None, CAPABILITIES)
-        self.runner = StatementRunner(gateway)
+        self.runner = StatementRunner(gateway, self._note_session)
         self._gateway = gateway
+        self._by_session = by_session
         self._login_limit_s = login_limit_s
         self.connection_id: int | None = None
         self._nonce = b""
@@ -113,6 +117,12 @@
         self._ending: Refusal | None = None
         self._waits_for_transaction = False
 
+    def _note_session(self, previous: Session | None, current: Session | None) -> None:
+        if previous is not None:
+            self._by_session.pop(previous.number, None)
+        if current is not None:
+            self._by_session[current.number] = self
+
     # Lifecycle
 
     async def start(self) -> None:
@@ -380,7 +390,7 @@
         change = parse_change_user(self.capabilities, self._collation, data)
         self._statements.clear()
         await self.runner.close()
-        self.runner = StatementRunner(self._gateway)
+        self.runner = StatementRunner(self._gateway, self._note_session)
         try:
             async with asyncio.timeout(self._login_limit_s):
                 refusal = await self._log_in(change)
--- a/libs/proxy/src/pistachiowinch/proxy/runner.py
+++ b/libs/proxy/src/pistachiowinch/proxy/runner.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import re
+from collections.abc import Callable
 
 from returns.result import Failure, Result, Success
 
@@ -21,7 +22,7 @@
 from pistachiowinch.routing.session import Session
 from pistachiowinch.routing.statements import Statement, StatementKind
 
-__all__ = ["Outcome", "StatementRunner"]
+__all__ = ["Outcome", "SessionObserver", "StatementRunner"]
 
 # Reading a longer text takes milliseconds, so it happens outside the event loop.
 LONG_TEXT_CHARS = 131_072
@@ -38,15 +39,24 @@
 _WARNING_ROW = ("Note", 1235, "PW1007 warnings are shown only inside a transaction")
 
 
+SessionObserver = Callable[[Session | None, Session | None], None]
+
+
+def _ignore(previous: Session | None, current: Session | None) -> None:
+    """Observe nothing."""
+
+
 class StatementRunner:
     """The statements of one caller.
 
     :param gateway: runs what is not answered here.
+    :param on_session: called with the previous and the new session at each change.
     """
 
-    def __init__(self, gateway: Gateway) -> None:
+    def __init__(self, gateway: Gateway, on_session: SessionObserver | None = None) -> None:
         """Start without a session."""
         self._gateway = gateway
+        self._on_session = on_session or _ignore
         self.key_id = ""
         self.session: Session | None = None
         self.settings = CallerSettings()
@@ -74,6 +84,7 @@
         previous = self.session
         self.session = opened.unwrap()
         self.key_id = key_id
+        self._on_session(previous, self.session)
         if previous is not None:
             self.session.max_staleness_ms = previous.max_staleness_ms
             self.session.name = previous.name
@@ -102,6 +113,7 @@
         """End the session."""
         session, self.session = self.session, None
         if session is not None:
+            self._on_session(session, None)
             await self._gateway.close_session(session)
 
     def apply_attributes(self, attributes: dict[str, str]) -> Result[None, Refusal]:
--- a/libs/proxy/src/pistachiowinch/proxy/server.py
+++ b/libs/proxy/src/pistachiowinch/proxy/server.py
@@ -50,6 +50,8 @@
         self._control = LocalControl()
         self._server: asyncio.Server | None = None
         self._connections: dict[asyncio.Task[None], CallerConnection] = {}
+        # A zone that leaves ends all sessions at once, so each must be found without a search.
+        self._by_session: dict[int, CallerConnection] = {}
         self._subscription: DisposableBase | None = None
         self._is_stopping = False
 
@@ -91,7 +93,9 @@
             stream.write_many((error_packet(refusal),))
             stream.close()
             return
-        connection = CallerConnection(stream, self._control, self._gateway, self._login_limit_s)
+        connection = CallerConnection(
+            stream, self._control, self._gateway, self._by_session, self._login_limit_s
+        )
         task = asyncio.get_running_loop().create_task(connection.start())
         self._connections[task] = connection
         task.add_done_callback(self._on_connection_done)
@@ -115,11 +119,10 @@
             self._metrics.sessions.set(len(self._connections))
 
     def _on_session_ended(self, session: Session) -> None:
-        for connection in self._connections.values():
-            if connection.runner.session is session:
-                default = Refusal(HOST_STOPPING, "the session was ended")
-                connection.end(session.ended or default)
-                return
+        connection = self._by_session.get(session.number)
+        if connection is not None:
+            default = Refusal(HOST_STOPPING, "the session was ended")
+            connection.end(session.ended or default)
 
     async def stop(self, grace_s: float) -> None:
         """Stop accepting, let open transactions and running statements end, then close.
--- a/tests/proxy/test_server.py
+++ b/tests/proxy/test_server.py
@@ -472,8 +472,12 @@
             assert gateway.open_sessions[-1].service == "stock"
 
 
-async def test_ended_idle_session_is_closed_with_the_code():
+@pytest.mark.parametrize("has_switched", [False, True])
+async def test_ended_idle_session_is_closed_with_the_code(has_switched):
     async with serving() as (gateway, server), caller(server) as client:
+        if has_switched:
+            await client.command(b"\x02stock")
+            gateway.end(gateway.closed[0], Refusal(KEY_WITHDRAWN, "ended before"))
         gateway.end(gateway.open_sessions[0], Refusal(KEY_WITHDRAWN, "the key was withdrawn"))
         assert "PW1002 KEY_WITHDRAWN" in error_text(await client.read())
         assert client.seq == 2
