Bound what prepared statements keep

Cause: 1024 prepared statements of 16 MB each, and as much long data, were allowed per caller; a list of constants that ends unexpectedly took quadratic time. Change: limits over all prepared statements of a caller, a linear pattern, a test of the speed script. Conclusion: a caller's memory is bounded by constants.

--- a/libs/proxy/src/pistachiowinch/proxy/classify.py
+++ b/libs/proxy/src/pistachiowinch/proxy/classify.py
@@ -51,7 +51,8 @@
 )
 # Lists of constants, as in IN (...) and in inserts of many rows, count as one constant.
 _CONSTANT_LIST = re.compile(r"\((?:[\s,1']|NULL\b|DEFAULT\b)*+\)", re.IGNORECASE)
-_REPEATED_LIST = re.compile(r"(?:\(1\)\s*+,\s*+)++\(1\)")
+_REPEATED_LIST = re.compile(r"\(1\)(?:\s*+,\s*+\(1\))++")
+_NAME = re.compile(r"`(?:[^`]++|``)*+`")
 _FIRST_WORD = re.compile(r"[\s(]*([A-Za-z]+)")
 
 
@@ -239,7 +240,7 @@
 
 
 def _without_names(shape: str) -> str:
-    return re.sub(r"`(?:[^`]|``)*`", "``", shape)
+    return _NAME.sub("``", shape)
 
 
 # The product's account may read them, but they show accounts and statements of other customers.
--- a/libs/proxy/src/pistachiowinch/proxy/connection.py
+++ b/libs/proxy/src/pistachiowinch/proxy/connection.py
@@ -36,7 +36,7 @@
     prepare_packets,
     read_query_attributes,
 )
-from pistachiowinch.proxy.runner import Outcome, StatementRunner
+from pistachiowinch.proxy.runner import LONG_TEXT_CHARS, Outcome, StatementRunner
 from pistachiowinch.proxy.stream import (
     MAX_STATEMENT_BYTES,
     ConnectionClosed,
@@ -59,6 +59,8 @@
 LOGIN_LIMIT_S = 5.0
 END_NOTICE_LIMIT_S = 1.0
 MAX_PREPARED_STATEMENTS = 1024
+# One caller's prepared statements together; each of them could be as large as a statement.
+MAX_PREPARED_BYTES = MAX_STATEMENT_BYTES
 SERVER_VERSION = "8.0.36-pistachiowinch"
 
 CAPABILITIES = (
@@ -412,9 +414,17 @@
             detail = f"more than {MAX_PREPARED_STATEMENTS} prepared statements"
             self._send_refusal(Refusal(STATEMENT_NOT_SUPPORTED, detail))
             return
+        kept_bytes = sum(len(statement.text) for statement in self._statements.values())
+        if kept_bytes + len(data) > MAX_PREPARED_BYTES:
+            detail = f"more than {MAX_PREPARED_BYTES} bytes of prepared statements"
+            self._send_refusal(Refusal(STATEMENT_TOO_LARGE, detail))
+            return
+        text = data.decode("utf-8", "surrogateescape")
         try:
-            text = data.decode("utf-8", "surrogateescape")
-            statement = PreparedStatement(self._next_statement, text)
+            if len(text) <= LONG_TEXT_CHARS:
+                statement = PreparedStatement(self._next_statement, text)
+            else:
+                statement = await asyncio.to_thread(PreparedStatement, self._next_statement, text)
         except ValueError as error:
             self._send_refusal(Refusal(STATEMENT_NOT_SUPPORTED, str(error)))
             return
@@ -456,7 +466,9 @@
         """
         statement = self._statement(data)
         if statement is not None and len(data) >= 6:
-            statement.append_long_data(int.from_bytes(data[4:6], "little"), data[6:])
+            kept_bytes = sum(other.long_data_bytes for other in self._statements.values())
+            left_bytes = MAX_STATEMENT_BYTES - kept_bytes
+            statement.append_long_data(int.from_bytes(data[4:6], "little"), data[6:], left_bytes)
 
     async def handle_stmt_close(self, data: bytes) -> None:
         """Forget a prepared statement. The command has no answer.
--- a/libs/proxy/src/pistachiowinch/proxy/prepared.py
+++ b/libs/proxy/src/pistachiowinch/proxy/prepared.py
@@ -55,6 +55,7 @@
         self.parts = [text[start:end] for start, end in zip(starts, ends, strict=True)]
         self.types: list[int] = []
         self.long_data: dict[int, bytearray] = {}
+        self.long_data_bytes = 0
         self.is_too_long = False
 
     @property
@@ -62,21 +63,24 @@
         """Number of question marks."""
         return len(self.parts) - 1
 
-    def append_long_data(self, index: int, chunk: bytes) -> None:
+    def append_long_data(self, index: int, chunk: bytes, limit_bytes: int) -> None:
         """Add a part of a parameter. The command has no answer, so errors show at execution.
 
         :param index: the parameter's number from 0.
         :param chunk: the bytes.
+        :param limit_bytes: how much may still be kept.
         """
-        size_bytes = sum(len(value) for value in self.long_data.values())
-        if index >= self.parameter_count or size_bytes + len(chunk) > MAX_STATEMENT_BYTES:
+        if index >= self.parameter_count or len(chunk) > limit_bytes:
+            self.reset()
             self.is_too_long = True
             return
         self.long_data.setdefault(index, bytearray()).extend(chunk)
+        self.long_data_bytes += len(chunk)
 
     def reset(self) -> None:
         """Forget parts of parameters."""
         self.long_data.clear()
+        self.long_data_bytes = 0
         self.is_too_long = False
 
 
--- a/libs/proxy/src/pistachiowinch/proxy/runner.py
+++ b/libs/proxy/src/pistachiowinch/proxy/runner.py
@@ -22,7 +22,7 @@
 from pistachiowinch.routing.session import Session
 from pistachiowinch.routing.statements import Statement, StatementKind
 
-__all__ = ["Outcome", "SessionObserver", "StatementRunner"]
+__all__ = ["LONG_TEXT_CHARS", "Outcome", "SessionObserver", "StatementRunner"]
 
 # Reading a longer text takes milliseconds, so it happens outside the event loop.
 LONG_TEXT_CHARS = 131_072
--- a/tests/proxy/test_classify.py
+++ b/tests/proxy/test_classify.py
@@ -249,6 +249,7 @@
     # A single caller must not stop the event loop with a statement of the largest size.
     rows = ", ".join(["(1, 'it''s', NULL)"] * 100_000)
     assert forwarded(f"INSERT INTO t VALUES {rows}").kind is StatementKind.WRITE
+    assert forwarded(f"INSERT INTO t VALUES {rows}, x").kind is StatementKind.WRITE
     columns = ", ".join(f"column_{index}" for index in range(5_000))
     assert forwarded(f"SELECT {columns} FROM t").kind is StatementKind.WRITE
     assert classify(f"SELECT {columns}, @a := 1 FROM t").action is Action.REFUSE
--- a/tests/proxy/test_prepared.py
+++ b/tests/proxy/test_prepared.py
@@ -68,8 +68,8 @@
 
 def test_long_data_is_used_once():
     statement = PreparedStatement(1, "SELECT ?")
-    statement.append_long_data(0, b"ab")
-    statement.append_long_data(0, b"c")
+    statement.append_long_data(0, b"ab", 10)
+    statement.append_long_data(0, b"c", 8)
     assert bind(statement, execution([252], []), False) == "SELECT x'616263'"
     statement.reset()
     assert bind(statement, execution([252], [sized(b"z")]), False) == "SELECT x'7a'"
@@ -95,10 +95,16 @@
 
 
 @pytest.mark.parametrize("index", [0, 5])
-def test_too_much_long_data_is_an_error_at_execution(monkeypatch, index):
-    monkeypatch.setattr(prepared, "MAX_STATEMENT_BYTES", 10)
+def test_too_much_long_data_is_an_error_at_execution(index):
     statement = PreparedStatement(1, "SELECT ?")
-    statement.append_long_data(index, b"x" * 11)
+    statement.append_long_data(0, b"x", 10)
+    statement.append_long_data(index, b"x" * (10 if index == 0 else 1), 9)
     assert not statement.long_data
     with pytest.raises(PacketTooLarge):
         bind(statement, execution([252], []), False)
+
+
+def test_statement_that_grows_too_large_is_an_error(monkeypatch):
+    monkeypatch.setattr(prepared, "MAX_STATEMENT_BYTES", 20)
+    with pytest.raises(PacketTooLarge):
+        bind(PreparedStatement(1, "SELECT ?"), execution([253], [sized(b"x" * 30)]), False)
--- a/tests/proxy/test_server.py
+++ b/tests/proxy/test_server.py
@@ -358,6 +358,15 @@
         assert (await client.command(b"\x16SELECT 1"))[0] == 0x00
 
 
+async def test_bytes_of_prepared_statements_are_limited(monkeypatch):
+    monkeypatch.setattr(connection_module, "MAX_PREPARED_BYTES", 20)
+    async with serving() as (_, server), caller(server) as client:
+        first = await client.command(b"\x16SELECT 1 FROM t")
+        assert "PW1006" in error_text(await client.command(b"\x16SELECT 1"))
+        client.write(b"\x19" + first[1:5], 0)
+        assert (await client.command(b"\x16SELECT 1"))[0] == 0x00
+
+
 async def test_half_open_login_and_vanished_caller_leave_nothing():
     async with serving() as (gateway, server):
         silent = await RawClient.connect(server.port)
