Keep settings of the caller's own connection from pinning a target's connection

Cause: frameworks set timeouts and defaults at each connection, and each pinned one of the few connections of a target. Change: idle timeouts and sql_auto_is_null = 0 are accepted without forwarding. Conclusion: other session variables still pin.

--- a/libs/proxy/src/pistachiowinch/proxy/settings.py
+++ b/libs/proxy/src/pistachiowinch/proxy/settings.py
@@ -46,6 +46,13 @@
 _REFUSED_VARIABLES = frozenset(
     {"sql_log_bin", "sql_log_off", "gtid_next", "binlog_format", "password"}
 )
+# They concern the caller's connection, not a target's. Forwarding them would pin a connection of the
+# target to each caller whose driver sets them.
+_OWN_VARIABLES = frozenset(
+    {"wait_timeout", "interactive_timeout", "net_read_timeout", "net_write_timeout"}
+)
+# Drivers and frameworks set these to MySQL's default at each connection.
+_DEFAULT_VALUES = {"sql_auto_is_null": _FALSE_WORDS}
 # They change where strings and names end, which the classification relies on.
 _REFUSED_MODES = ("ANSI", "NO_BACKSLASH_ESCAPES", "ORACLE", "DB2", "MSSQL", "MAXDB", "POSTGRESQL")
 
@@ -294,6 +301,11 @@
         return _plan_charset(value)
     if name in _REFUSED_VARIABLES or name.startswith("pseudo_"):
         return _unsupported(f"{name} must not be changed")
+    literal = (_literal(value) or "").lower()
+    if name in _OWN_VARIABLES and re.fullmatch(r"\d{1,9}|default", literal):
+        return Success(SetPlan())
+    if literal in _DEFAULT_VALUES.get(name, ()):
+        return Success(SetPlan())
     if name == "sql_mode":
         mode_text = _literal(value)
         if mode_text is None or any(mode in mode_text.upper() for mode in _REFUSED_MODES):
