--- a/libs/proxy/src/pistachiowinch/proxy/settings.py
+++ b/libs/proxy/src/pistachiowinch/proxy/settings.py
@@ -46,8 +46,8 @@
 _REFUSED_VARIABLES = frozenset(
     {"sql_log_bin", "sql_log_off", "gtid_next", "binlog_format", "password"}
 )
-# They concern the caller's connection, not a target's. Forwarding them would pin a connection of the
-# target to each caller whose driver sets them.
+# They concern the caller's own connection. Forwarding them would pin a target's connection to each
+# caller whose driver sets them.
 _OWN_VARIABLES = frozenset(
     {"wait_timeout", "interactive_timeout", "net_read_timeout", "net_write_timeout"}
 )
--- a/tests/proxy/edge_support.py
+++ b/tests/proxy/edge_support.py
@@ -90,6 +90,48 @@
         self.sessions_ended.on_next(session)
 
 
+class FakeTransport:
+    """Transport of a caller that keeps what the server writes."""
+
+    def __init__(self):
+        """Start open."""
+        self.written = bytearray()
+        self.protocol = None
+        self.is_closed = False
+        self.is_paused = False
+
+    def get_extra_info(self, name):
+        """Return no socket."""
+
+    def write(self, data):
+        """Keep the bytes."""
+        self.written += data
+
+    def pause_reading(self):
+        """Remember the call."""
+        self.is_paused = True
+
+    def resume_reading(self):
+        """Remember the call."""
+        self.is_paused = False
+
+    def can_write_eof(self):
+        """Half-closing is not simulated."""
+        return False
+
+    def is_closing(self):
+        """Tell whether the transport was closed."""
+        return self.is_closed
+
+    def close(self):
+        """Report the loss as a real transport does."""
+        if not self.is_closed:
+            self.is_closed = True
+            asyncio.get_running_loop().call_soon(self.protocol.connection_lost, None)
+
+    abort = close
+
+
 def scramble(password, nonce):
     if not password:
         return b""
--- a/tests/proxy/test_fuzz.py
+++ b/tests/proxy/test_fuzz.py
@@ -9,7 +9,7 @@
 import struct
 
 import pytest
-from proxy.edge_support import FakeGateway, RawClient
+from proxy.edge_support import FakeGateway, FakeTransport, RawClient
 
 from pistachiowinch.proxy.server import CallerServer
 from pistachiowinch.proxy.stream import PacketStream
@@ -33,45 +33,6 @@
 )
 
 
-class FakeTransport:
-    """Collects what the server sends."""
-
-    def __init__(self):
-        """Start open."""
-        self.sent = bytearray()
-        self.protocol = None
-        self.is_closed = False
-
-    def get_extra_info(self, name):
-        """Return no socket."""
-
-    def write(self, data):
-        """Keep the bytes."""
-        self.sent += data
-
-    def pause_reading(self):
-        """Ignore the call."""
-
-    def resume_reading(self):
-        """Ignore the call."""
-
-    def can_write_eof(self):
-        """Half-closing is not simulated."""
-        return False
-
-    def is_closing(self):
-        """Tell whether the transport was closed."""
-        return self.is_closed
-
-    def close(self):
-        """Report the loss as a real transport does."""
-        if not self.is_closed:
-            self.is_closed = True
-            asyncio.get_running_loop().call_soon(self.protocol.connection_lost, None)
-
-    abort = close
-
-
 def damage(raw, source):
     data = bytearray(raw)
     for _ in range(source.choice((0, 1, 1, 2, 5))):
@@ -105,7 +66,7 @@
 
 def login_packet(transport):
     client = RawClient(None, None)
-    greeting = bytes(transport.sent[4:])
+    greeting = bytes(transport.written[4:])
     rest = greeting[greeting.index(b"\x00", 1) + 5 :]
     client.nonce = rest[:8] + rest[27:39]
     return client.response("key-1", "secret-1", "hire", attributes={"pistachiowinch_session": "s"})
@@ -116,7 +77,7 @@
     await asyncio.sleep(10.0)
     assert server.connection_count == 0
     assert gateway.open_sessions == []
-    assert b"PW9001" not in transport.sent
+    assert b"PW9001" not in transport.written
 
 
 @pytest.mark.parametrize("seed", range(150))
--- a/tests/proxy/test_stream.py
+++ b/tests/proxy/test_stream.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from proxy.edge_support import FakeTransport
 
 from pistachiowinch.proxy.stream import (
     ConnectionClosed,
@@ -15,38 +16,10 @@
 pytestmark = pytest.mark.looptime
 
 
-class FakeTransport:
-    """Keeps what was written and whether reading is paused."""
-
-    def __init__(self):
-        """Start open."""
-        self.written = bytearray()
-        self.is_paused = False
-        self.is_aborted = False
-
-    def get_extra_info(self, name):
-        """Return no socket."""
-
-    def write(self, data):
-        """Keep the bytes."""
-        self.written += data
-
-    def pause_reading(self):
-        """Remember the call."""
-        self.is_paused = True
-
-    def resume_reading(self):
-        """Remember the call."""
-        self.is_paused = False
-
-    def abort(self):
-        """Remember the call."""
-        self.is_aborted = True
-
-
 def make_stream():
     stream = PacketStream(lambda _: None)
     transport = FakeTransport()
+    transport.protocol = stream
     stream.connection_made(transport)
     return stream, transport
 
@@ -114,7 +87,7 @@
     stream.pause_writing()
     with pytest.raises(ConnectionClosed):
         await stream.write_answer([b"x" * 300_000, b"y"])
-    assert transport.is_aborted
+    assert transport.is_closed
 
 
 async def test_slow_caller_gets_everything_in_order():
