Measure the memory of idle callers before other connections leave reusable memory

Cause: the figure varied between 3.1 and 9.2 KB, because freed memory was reused uncounted and the pool's own connections were counted. Change: idle callers are measured first, without the pool's connections.

--- a/libs/measure/src/pistachiowinch/measure/speed.py
+++ b/libs/measure/src/pistachiowinch/measure/speed.py
@@ -212,10 +212,12 @@
     return len(callers) * statements / (time.perf_counter() - started_s)
 
 
-def _is_of_caller(trace: tracemalloc.Trace) -> bool:
+def _is_of_server(trace: tracemalloc.Trace) -> bool:
     files = [frame.filename for frame in trace.traceback]
-    is_from_here = any(name == __file__ for name in files)
-    return is_from_here and not any("pistachiowinch/proxy/" in name for name in files)
+    if any("pistachiowinch/targets/" in name for name in files):
+        return False
+    # The caller's half runs below this file, and never below the callers' server.
+    return __file__ not in files or any("pistachiowinch/proxy/" in name for name in files)
 
 
 async def _idle_connection_kb(server: CallerServer, count: int) -> float:
@@ -231,7 +233,7 @@
     tracemalloc.stop()
     for caller in [*warm, *callers]:
         caller.close()
-    return sum(trace.size for trace in traces if not _is_of_caller(trace)) / count / 1024
+    return sum(trace.size for trace in traces if _is_of_server(trace)) / count / 1024
 
 
 async def measure_speed(
@@ -257,6 +259,8 @@
     server = CallerServer(gateway)
     await server.start(_HOST, 0)
     try:
+        # First, because memory that earlier connections left behind would be reused uncounted.
+        idle_kb = await _idle_connection_kb(server, idle_connections)
         product_login = TargetCredentials(*_LOGIN)
         direct = await _open_callers(target.port_of(TARGET), product_login, callers)
         caller_login = TargetCredentials(KEY_ID, KEY)
@@ -266,7 +270,6 @@
             rates.append((await _rate(direct, statements), await _rate(proxied, statements)))
         for caller in [*direct, *proxied]:
             caller.close()
-        idle_kb = await _idle_connection_kb(server, idle_connections)
     finally:
         await server.stop(0.0)
         await gateway.stop(0.0)
