--- a/libs/proxy/src/pistachiowinch/proxy/stream.py
+++ b/libs/proxy/src/pistachiowinch/proxy/stream.py
@@ -78,8 +78,10 @@
         """Keep received bytes until they are read."""
         if self._is_discarding:
             return
-        self._buffer += data
-        if len(self._buffer) > self._wanted_bytes() + _READ_AHEAD_BYTES:
+        buffer = self._buffer
+        buffer += data
+        size_bytes = len(buffer)
+        if size_bytes > _READ_AHEAD_BYTES and size_bytes > self._wanted_bytes() + _READ_AHEAD_BYTES:
             self._transport.pause_reading()
             self._is_reading_paused = True
         self._wake(self._reader)
