--- a/libs/proxy/src/pistachiowinch/proxy/connection.py
+++ b/libs/proxy/src/pistachiowinch/proxy/connection.py
@@ -36,7 +36,7 @@
     prepare_packets,
     read_query_attributes,
 )
-from pistachiowinch.proxy.runner import Outcome, StatementRunner
+from pistachiowinch.proxy.runner import LONG_TEXT_CHARS, Outcome, StatementRunner
 from pistachiowinch.proxy.stream import (
     MAX_STATEMENT_BYTES,
     ConnectionClosed,
@@ -52,12 +52,15 @@
     ok_packet,
     unchanged_rows,
 )
+from pistachiowinch.routing.session import Session
 
 __all__ = ["CAPABILITIES", "LOGIN_LIMIT_S", "CallerConnection", "CallerSession"]
 
 LOGIN_LIMIT_S = 5.0
 END_NOTICE_LIMIT_S = 1.0
 MAX_PREPARED_STATEMENTS = 1024
+# One caller's prepared statements together; each of them could be as large as a statement.
+MAX_PREPARED_BYTES = MAX_STATEMENT_BYTES
 SERVER_VERSION = "8.0.36-pistachiowinch"
 
 CAPABILITIES = (
@@ -88,6 +91,7 @@
     :param stream: the caller's packets.
     :param control: numbers the connections.
     :param gateway: runs the statements.
+    :param by_session: connections by the numbers of their sessions; kept up to date here.
     :param login_limit_s: time for the whole login.
     """
 
@@ -96,12 +100,14 @@
         stream: PacketStream,
         control: Control,
         gateway: Gateway,
+        by_session: dict[int, "CallerConnection"],
         login_limit_s: float = LOGIN_LIMIT_S,
     ) -> None:
         """Start before the handshake."""
         super().__init__(stream, CallerSession(), control, None, CAPABILITIES)
-        self.runner = StatementRunner(gateway)
+        self.runner = StatementRunner(gateway, self._note_session)
         self._gateway = gateway
+        self._by_session = by_session
         self._login_limit_s = login_limit_s
         self.connection_id: int | None = None
         self._nonce = b""
@@ -113,6 +119,12 @@
         self._ending: Refusal | None = None
         self._waits_for_transaction = False
 
+    def _note_session(self, previous: Session | None, current: Session | None) -> None:
+        if previous is not None:
+            self._by_session.pop(previous.number, None)
+        if current is not None:
+            self._by_session[current.number] = self
+
     # Lifecycle
 
     async def start(self) -> None:
@@ -380,7 +392,7 @@
         change = parse_change_user(self.capabilities, self._collation, data)
         self._statements.clear()
         await self.runner.close()
-        self.runner = StatementRunner(self._gateway)
+        self.runner = StatementRunner(self._gateway, self._note_session)
         try:
             async with asyncio.timeout(self._login_limit_s):
                 refusal = await self._log_in(change)
@@ -402,9 +414,17 @@
             detail = f"more than {MAX_PREPARED_STATEMENTS} prepared statements"
             self._send_refusal(Refusal(STATEMENT_NOT_SUPPORTED, detail))
             return
+        kept_bytes = sum(len(statement.text) for statement in self._statements.values())
+        if kept_bytes + len(data) > MAX_PREPARED_BYTES:
+            detail = f"more than {MAX_PREPARED_BYTES} bytes of prepared statements"
+            self._send_refusal(Refusal(STATEMENT_TOO_LARGE, detail))
+            return
+        text = data.decode("utf-8", "surrogateescape")
         try:
-            text = data.decode("utf-8", "surrogateescape")
-            statement = PreparedStatement(self._next_statement, text)
+            if len(text) <= LONG_TEXT_CHARS:
+                statement = PreparedStatement(self._next_statement, text)
+            else:
+                statement = await asyncio.to_thread(PreparedStatement, self._next_statement, text)
         except ValueError as error:
             self._send_refusal(Refusal(STATEMENT_NOT_SUPPORTED, str(error)))
             return
@@ -446,7 +466,9 @@
         """
         statement = self._statement(data)
         if statement is not None and len(data) >= 6:
-            statement.append_long_data(int.from_bytes(data[4:6], "little"), data[6:])
+            kept_bytes = sum(other.long_data_bytes for other in self._statements.values())
+            left_bytes = MAX_STATEMENT_BYTES - kept_bytes
+            statement.append_long_data(int.from_bytes(data[4:6], "little"), data[6:], left_bytes)
 
     async def handle_stmt_close(self, data: bytes) -> None:
         """Forget a prepared statement. The command has no answer.
--- a/tests/proxy/test_server.py
+++ b/tests/proxy/test_server.py
@@ -358,6 +358,15 @@
         assert (await client.command(b"\x16SELECT 1"))[0] == 0x00
 
 
+async def test_bytes_of_prepared_statements_are_limited(monkeypatch):
+    monkeypatch.setattr(connection_module, "MAX_PREPARED_BYTES", 20)
+    async with serving() as (_, server), caller(server) as client:
+        first = await client.command(b"\x16SELECT 1 FROM t")
+        assert "PW1006" in error_text(await client.command(b"\x16SELECT 1"))
+        client.write(b"\x19" + first[1:5], 0)
+        assert (await client.command(b"\x16SELECT 1"))[0] == 0x00
+
+
 async def test_half_open_login_and_vanished_caller_leave_nothing():
     async with serving() as (gateway, server):
         silent = await RawClient.connect(server.port)
@@ -472,8 +481,12 @@
             assert gateway.open_sessions[-1].service == "stock"
 
 
-async def test_ended_idle_session_is_closed_with_the_code():
+@pytest.mark.parametrize("has_switched", [False, True])
+async def test_ended_idle_session_is_closed_with_the_code(has_switched):
     async with serving() as (gateway, server), caller(server) as client:
+        if has_switched:
+            await client.command(b"\x02stock")
+            gateway.end(gateway.closed[0], Refusal(KEY_WITHDRAWN, "ended before"))
         gateway.end(gateway.open_sessions[0], Refusal(KEY_WITHDRAWN, "the key was withdrawn"))
         assert "PW1002 KEY_WITHDRAWN" in error_text(await client.read())
         assert client.seq == 2
