Lend little to hosts that do not get their loans in time

Cause: with most messages later than a loan's life, hosts drained each other without use. Change: late lenders are asked less often, borrowers whose loans ended unreported get a tenth.

--- a/libs/limits/src/pistachiowinch/limits/bucket.py
+++ b/libs/limits/src/pistachiowinch/limits/bucket.py
@@ -45,9 +45,11 @@
 
 
 class _Lent:
-    __slots__ = ("counted_until_s", "outstanding", "returned")
+    __slots__ = ("borrower", "counted_until_s", "is_reported", "outstanding", "returned")
 
-    def __init__(self, amount: float, counted_until_s: float) -> None:
+    def __init__(self, borrower: str, amount: float, counted_until_s: float) -> None:
+        self.borrower = borrower
+        self.is_reported = False
         self.outstanding = amount
         self.returned = 0.0
         self.counted_until_s = counted_until_s
@@ -79,6 +81,7 @@
         self.share = share
         self.level = 0.0
         self.expired = 0.0
+        self._unreported: set[str] = set()
         self._updated_s = max(now_s, quiet_until_s)
         self._lent: dict[int, _Lent] = {}
         self._borrowed: list[_Borrowed] = []
@@ -154,7 +157,7 @@
         self.level = max(self.level - (1.0 - self._use(1.0)), 0.0)
         return True
 
-    def lend(self, loan: int, amount: float, now_s: float) -> float:
+    def lend(self, borrower: str, loan: int, amount: float, now_s: float) -> float:
         """Debit tokens for a loan.
 
         :returns: how much was lent, at most ``amount``.
@@ -164,21 +167,26 @@
         if lent <= EPSILON:
             return 0.0
         self.level -= lent
-        self._lent[loan] = _Lent(lent, now_s + LOAN_COUNTED_S)
+        self._lent[loan] = _Lent(borrower, lent, now_s + LOAN_COUNTED_S)
         return lent
 
-    def settle(self, state: LoanState, now_s: float) -> None:
-        """Take a borrower's report; late, doubled and reordered reports change nothing more."""
+    def settle(self, state: LoanState, now_s: float) -> bool:
+        """Take a borrower's report; late, doubled and reordered reports change nothing more.
+
+        :returns: whether the loan still counted, so that the report came in time.
+        """
         self.advance(now_s)
         lent = self._lent.get(state.loan)
         if lent is None:
-            return
+            return False
+        lent.is_reported = True
         back = min(max(state.returned - lent.returned, 0.0), lent.outstanding)
         lent.returned = max(lent.returned, state.returned)
         lent.outstanding = max(min(lent.outstanding - back, state.remaining), 0.0)
         if lent.outstanding <= EPSILON:
             del self._lent[state.loan]
         self.level += min(back, self.room)
+        return True
 
     def borrow(self, lender: str, loan: int, amount: float, expires_s: float, now_s: float) -> None:
         """Take a loan; one that arrives too late is given back unused."""
@@ -226,6 +234,11 @@
         self._forget_spent()
         return returned
 
+    def take_unreported(self) -> set[str]:
+        """Remove and return the borrowers of loans that ended without any report."""
+        unreported, self._unreported = self._unreported, set()
+        return unreported
+
     def take_reports(self, lender: str) -> tuple[LoanState, ...]:
         """Remove and return what the lender was not told yet."""
         return tuple(self._reports.pop(lender, {}).values())
@@ -249,6 +262,8 @@
         for loan, lent in tuple(self._lent.items()):
             if lent.counted_until_s <= now_s:
                 del self._lent[loan]
+                if not lent.is_reported:
+                    self._unreported.add(lent.borrower)
 
     def _expire_borrowed(self, now_s: float) -> None:
         if all(entry.expires_s > now_s for entry in self._borrowed):
--- a/libs/limits/src/pistachiowinch/limits/rates.py
+++ b/libs/limits/src/pistachiowinch/limits/rates.py
@@ -60,6 +60,8 @@
 # A peer that did not answer in time is not asked for this long, doubled each time.
 SILENCE_S = 0.1
 MAX_SILENCE_S = 1.6
+# After that it is lent only this part of the own tokens, until it reports a loan in time.
+PROBE_PART = 0.1
 TICK_S = 0.1
 # Unused loans go back before they expire; longer than one tick, so that none is missed.
 RETURN_BEFORE_S = 0.15
@@ -116,12 +118,19 @@
 
 
 class _Silence(NamedTuple):
-    """A peer whose loans came too late: not asked until then."""
+    """A peer that is not asked or lent to until then, because loans did not arrive in time."""
 
     until_s: float
     duration_s: float
 
 
+def _lengthen(silences: dict[str, _Silence], peer: str) -> None:
+    known = silences.get(peer)
+    duration_s = SILENCE_S if known is None else min(2.0 * known.duration_s, MAX_SILENCE_S)
+    if known is None or known.until_s <= now_s():
+        silences[peer] = _Silence(now_s() + duration_s, duration_s)
+
+
 class _Fullness(NamedTuple):
     part: float
     at_s: float
@@ -189,6 +198,7 @@
         # A previous run of this host may have lent tokens that are still usable elsewhere.
         self._quiet_until_s = now_s() + LOAN_COUNTED_S
         self._silent: dict[str, _Silence] = {}
+        self._wasteful: dict[str, _Silence] = {}
         self._last_tick_s: float | None = None
         self._tasks: set[asyncio.Task] = set()
         # Numbers of a previous run must not match those of this one.
@@ -430,9 +440,7 @@
 
     def _note_late(self, peer: str) -> None:
         # Tokens that a slow peer lends are lost, so asking it again at once would only drain it.
-        known = self._silent.get(peer)
-        duration_s = SILENCE_S if known is None else min(2.0 * known.duration_s, MAX_SILENCE_S)
-        self._silent[peer] = _Silence(now_s() + duration_s, duration_s)
+        _lengthen(self._silent, peer)
 
     def _wanted(self, state: _Customer) -> float:
         bucket = state.bucket
@@ -497,7 +505,7 @@
         if state is None:
             return _NO_LOAN
         self._check_pause(now_s())
-        self._apply(state, request.settled)
+        self._apply(state, borrower, request.settled)
         previous = state.answered.get(borrower)
         if previous is not None and now_s() - previous.at_s < LOAN_COUNTED_S:
             # A repeated ask gets the same loan; an overtaken one must not debit a second time.
@@ -512,11 +520,17 @@
     def _loan(self, state: _Customer, borrower: str, request: BorrowRequest) -> BorrowAnswer:
         bucket = state.bucket
         bucket.advance(now_s())
-        amount = self._spare(state, borrower, request.is_urgent)
-        if not math.isfinite(request.wanted):
+        for peer in bucket.take_unreported():
+            # A host that does not get loans in time would drain this one without any use.
+            _lengthen(self._wasteful, peer)
+        wasteful = self._wasteful.get(borrower)
+        if not math.isfinite(request.wanted) or (wasteful and wasteful.until_s > now_s()):
             return _NO_LOAN
+        amount = self._spare(state, borrower, request.is_urgent)
+        if wasteful:
+            amount *= PROBE_PART
         loan = self._number()
-        lent = bucket.lend(loan, min(amount, request.wanted), now_s())
+        lent = bucket.lend(borrower, loan, min(amount, request.wanted), now_s())
         self._counters.tokens("lent", lent)
         return BorrowAnswer(loan if lent > 0.0 else 0, lent, bucket.fullness)
 
@@ -547,13 +561,15 @@
     def _settle(self, borrower: str, report: LoanReport) -> None:
         state = self._customers.get(report.customer)
         if state is not None:
-            self._apply(state, report.settled)
+            self._apply(state, borrower, report.settled)
             self._serve(state)
 
-    def _apply(self, state: _Customer, settled: Sequence[LoanState]) -> None:
+    def _apply(self, state: _Customer, borrower: str, settled: Sequence[LoanState]) -> None:
         for loan_state in settled:
-            if math.isfinite(loan_state.remaining) and math.isfinite(loan_state.returned):
-                state.bucket.settle(loan_state, now_s())
+            if not (math.isfinite(loan_state.remaining) and math.isfinite(loan_state.returned)):
+                continue
+            if state.bucket.settle(loan_state, now_s()):
+                self._wasteful.pop(borrower, None)
 
     # Reports, ticks and tasks
 
--- a/tests/limits/test_rates.py
+++ b/tests/limits/test_rates.py
@@ -224,7 +224,7 @@
 async def test_reordered_and_repeated_reports_only_lower_what_counts():
     bucket = CustomerBucket(RateLimit(0.0, 10.0), 1.0, 0.0, 0.0)
     bucket.level = 10.0
-    assert bucket.lend(1, 6.0, 0.0) == 6.0
+    assert bucket.lend("b", 1, 6.0, 0.0) == 6.0
     bucket.settle(LoanState(1, 1.0, 3.0), 0.01)
     assert (bucket.level, bucket.outstanding) == (7.0, 1.0)
     bucket.settle(LoanState(1, 4.0, 1.0), 0.02)
