--- a/libs/limits/src/pistachiowinch/limits/permit_pool.py
+++ b/libs/limits/src/pistachiowinch/limits/permit_pool.py
@@ -16,6 +16,8 @@
 IDLE_S = 1.0
 # This long after the first unanswered statement the host uses one permit for each target.
 FALLBACK_AFTER_S = 0.1
+# An idle host asks for nothing; what it knew about the broker is then outdated.
+SILENCE_VALID_S = 0.3
 
 
 class HeldPermit:
@@ -50,6 +52,7 @@
         self._fallback: dict[str, HeldPermit] = {}
         self._expires_s = now_s() + PERMIT_S
         self._silent_since_s: float | None = None
+        self._last_silent_s = -PERMIT_S
         self.broker_run = 0
         self.seen = 0
         self.others_wait = False
@@ -58,11 +61,14 @@
     def is_broker_silent(self) -> bool:
         """Whether the broker has not answered for a while."""
         since_s = self._silent_since_s
-        return since_s is not None and now_s() - since_s >= FALLBACK_AFTER_S
+        if since_s is None or now_s() - self._last_silent_s > SILENCE_VALID_S:
+            return False
+        return now_s() - since_s >= FALLBACK_AFTER_S
 
     @property
     def kept(self) -> tuple[int, ...]:
         """Grants that this host still holds."""
+        self.expire()
         return tuple(self._permits)
 
     @property
@@ -116,6 +122,7 @@
 
     def drop_due(self, targets: Collection[str]) -> bool:
         """Drop idle permits that must go back; tell whether there were any."""
+        self.expire()
         due = [
             permit
             for permit in self._permits.values()
@@ -137,6 +144,8 @@
     def accept(self, answer: PermitAnswer, sent_s: float) -> None:
         """Take an answer to a statement that was sent at a time; it renews all permits."""
         self._silent_since_s = None
+        # Permits that expired before this answer were lent to others and must not be revived.
+        self.expire()
         if answer.broker_run != self.broker_run:
             self.orphan_all()
             self.broker_run = answer.broker_run
@@ -144,12 +153,13 @@
         self._expires_s = sent_s + PERMIT_S
         self.others_wait = answer.others_wait
         self._add(answer.grants)
-        self.expire()
 
     def note_silence(self) -> None:
         """Note that a statement was not answered by the broker."""
-        if self._silent_since_s is None:
+        is_outdated = now_s() - self._last_silent_s > SILENCE_VALID_S
+        if self._silent_since_s is None or is_outdated:
             self._silent_since_s = now_s()
+        self._last_silent_s = now_s()
 
     def accept_push(
         self, broker_run: int, grants: tuple[tuple[int, str], ...], others_wait: bool
--- a/tests/limits/test_rates_machine.py
+++ b/tests/limits/test_rates_machine.py
@@ -140,7 +140,7 @@
 TestEscrowMachine = EscrowMachine.TestCase
 TestEscrowMachine.settings = settings(
     derandomize=True,
-    max_examples=40,
+    max_examples=100,
     stateful_step_count=30,
     deadline=None,
     suppress_health_check=list(HealthCheck),
