Make the promotion tests tell apart more faults

Cause: mutants without the majority in a confirmation, without the choice of the most complete target and without the cancel row after a promotion in place passed some tests. Change: replicas lag by different times in both orders, the state machine starts with lags and can take away the current primary, the in-place test refreshes the tracker first.

--- a/tests/groups/test_group_machine.py
+++ b/tests/groups/test_group_machine.py
@@ -48,10 +48,14 @@
 
         self.run(call())
 
-    @initialize(seed=st.integers(1, 1000))
-    def start(self, seed):
+    @initialize(seed=st.integers(1, 1000), lags_s=st.permutations((0.0, 0.02, 0.25)))
+    def start(self, seed, lags_s):
+        """Start with replicas that are behind by different times."""
+
         async def start():
             self.site = GroupSite(HOSTS, seed)
+            for instance, lag_s in zip(TARGETS, lags_s, strict=True):
+                self.site.group.set_lag(instance, lag_s)
             await self.site.start()
             for name, host in self.site.hosts.items():
                 for number in range(WRITERS_PER_HOST):
@@ -94,6 +98,18 @@
     def crash(self, instance, is_silent):
         self.do(self.site.group.crash, instance, is_silent)
 
+    @rule(is_silent=st.booleans(), is_cut=st.booleans())
+    def lose_primary(self, is_silent, is_cut):
+        """Crash or cut off whichever target is the primary now."""
+        writable = [found for found in self.site.group.targets.values() if found.is_writable]
+        if not writable:
+            return
+        primary = max(writable, key=lambda found: found.stream_term).name
+        if is_cut:
+            self.do(self.site.group.isolate, primary)
+        else:
+            self.do(self.site.group.crash, primary, is_silent)
+
     @rule(instance=targets)
     def restart(self, instance):
         if not self.site.group.targets[instance].is_up:
--- a/tests/groups/test_ledger.py
+++ b/tests/groups/test_ledger.py
@@ -171,6 +171,8 @@
     committing = asyncio.create_task(connection.execute("COMMIT"))
     await sleep_s(0.05)
     rig.group.slow_down("a", 1.0)
+    await rig.tracker.refresh(TARGETS)
+    assert rig.tracker.term == 50
     found = await rig.decide(term=1)
     await committing
     assert isinstance(found, RanBefore) == (rig.applied("a") == 1)
--- a/tests/groups/test_promotion.py
+++ b/tests/groups/test_promotion.py
@@ -294,14 +294,15 @@
     await scene.finish()
 
 
-async def test_both_replicas_behind_lose_no_acknowledged_write(scene):
+@pytest.mark.parametrize(("ahead", "behind"), [(B, C), (C, B)])
+async def test_both_replicas_behind_lose_no_acknowledged_write(scene, ahead, behind):
     await scene.start()
-    scene.group.set_lag(B, receive_s=0.1, apply_s=0.5)
-    scene.group.set_lag(C, receive_s=0.3, apply_s=0.2)
+    scene.group.set_lag(ahead, receive_s=0.1, apply_s=0.5)
+    scene.group.set_lag(behind, receive_s=0.3, apply_s=0.2)
     await sleep_s(1.0)
     scene.group.crash(A, is_silent=True)
     await sleep_s(FAULT_S)
-    assert scene.site.primary() == B
+    assert scene.site.primary() == ahead
     counts = await scene.finish()
     assert counts["acknowledged"] > 100
 
