Let a transaction that has written continue without a slot

Cause: writes were refused with error 1205 (lock wait) when a target left: statements that waited for a transaction's locks held all slots, and the transaction waited for a slot. Change: only the first statements of a transaction take slots; the measure's table has a generated key, because the fake locks whole tables without one.

--- a/libs/gateway/src/pistachiowinch/gateway/transactions.py
+++ b/libs/gateway/src/pistachiowinch/gateway/transactions.py
@@ -105,16 +105,7 @@
         if not pinned.has_written:
             return await self._end(session, parts, "COMMIT", deadline_s)
         entry = self._entry(session, pinned, statement, is_always_recorded)
-        match await self._acquire_slot(session, parts, deadline_s):
-            case Failure(refusal):
-                await self.abandon(session, parts)
-                return Failure(refusal)
-            case Success(grant):
-                pass
-        try:
-            return await self._commit_recorded(session, parts, entry, deadline_s)
-        finally:
-            parts.scheduler.release(grant)
+        return await self._commit_recorded(session, parts, entry, deadline_s)
 
     async def roll_back(
         self, session: Session, parts: ServiceParts, deadline_s: float
@@ -242,7 +233,14 @@
 
     async def _acquire_slot(
         self, session: Session, parts: ServiceParts, deadline_s: float
-    ) -> Result[SlotGrant, Refusal]:
+    ) -> Result[SlotGrant | None, Refusal]:
+        """Take a slot on the pinned target, unless the transaction has written.
+
+        A transaction that has written holds locks. If it waited for a slot, the statements that
+        wait for its locks could hold all slots.
+        """
+        if session.pinned.has_written:
+            return Success(None)
         target = session.pinned.target
         weight = self._context.weight(session.customer)
         request = SlotRequest(
@@ -252,7 +250,7 @@
 
     async def _pin(
         self, session: Session, parts: ServiceParts, deadline_s: float
-    ) -> Result[SlotGrant, Refusal]:
+    ) -> Result[SlotGrant | None, Refusal]:
         """Take a slot for one statement, and a connection if the session has none."""
         if session.pinned is not None:
             if session.pinned.term != parts.tracker.term:
@@ -275,7 +273,8 @@
             outcome = await self._exchange(session.pinned, statement.text, deadline_s)
             is_answered = True
         finally:
-            parts.scheduler.release(grant)
+            if grant is not None:
+                parts.scheduler.release(grant)
             if not is_answered:
                 await self.abandon(session, parts)
         return await self._after(session, statement, parts, outcome)
--- a/libs/measure/src/pistachiowinch/measure/site.py
+++ b/libs/measure/src/pistachiowinch/measure/site.py
@@ -21,10 +21,10 @@
 
 __all__ = ["SCHEMA", "MeasuredSite", "SentStatement", "run_paused"]
 
-# Without a unique key, so that a write that ran twice leaves two rows.
+# The only unique key is generated, so that a write that ran twice leaves two rows.
 SCHEMA = (
-    "CREATE TABLE records (caller VARCHAR(40) NOT NULL, seq INT NOT NULL, "
-    "note VARCHAR(80) NOT NULL, KEY by_caller (caller, seq))",
+    "CREATE TABLE records (id INT NOT NULL AUTO_INCREMENT PRIMARY KEY, "
+    "caller VARCHAR(40) NOT NULL, seq INT NOT NULL, note VARCHAR(80) NOT NULL)",
 )
 _PASSWORD_HASH = "*" + "0" * 40
 _READY_LIMIT_S = 60.0
