--- a/libs/measure/src/pistachiowinch/measure/speed.py
+++ b/libs/measure/src/pistachiowinch/measure/speed.py
@@ -224,10 +224,13 @@
     """Measure the server's Python memory for idle callers, without their own half."""
     login = TargetCredentials(KEY_ID, KEY)
     warm = await _open_callers(server.port, login, 2)
+    await _rate(warm, 2)
     gc.collect()
     tracemalloc.start(_TRACED_FRAMES)
     callers = await _open_callers(server.port, login, count)
-    await _rate(callers, 1)
+    for caller in callers:
+        # One after the other: tracing is slow, and opening the whole pool at once would time out.
+        await _rate([caller], 1)
     gc.collect()
     traces = tracemalloc.take_snapshot().traces
     tracemalloc.stop()
