--- /dev/null
+++ b/libs/measure/src/pistachiowinch/measure/main.py
@@ -0,0 +1,72 @@
+"""Command line of the measures, reached by ``pistachiowinch measure``."""
+
+import asyncio
+from collections.abc import Sequence
+from typing import Annotated
+
+import click
+import msgspec
+import typer
+
+from pistachiowinch.measure.speed import measure_speed
+from pistachiowinch.measure.table import GROUPS, Effort, Row, format_rows, measure_rows
+
+__all__ = ["main"]
+
+_QUICK = Effort(failovers=10, rates_s=30.0, fairness_s=5.0, promises_s=10.0)
+
+app = typer.Typer(add_completion=False, help="Measure the mechanisms against their baselines.")
+
+
+def _as_json(rows: Sequence[Row]) -> str:
+    fields = [{**row._asdict(), "is_met": row.is_met} for row in rows]
+    return msgspec.json.format(msgspec.json.encode(fields)).decode()
+
+
+@app.command()
+def table(
+    group: Annotated[
+        list[str] | None, typer.Option(help=f"Rows to measure: {', '.join(GROUPS)}; default all.")
+    ] = None,
+    seed: Annotated[int, typer.Option(help="First seed of every row.")] = 1,
+    quick: Annotated[bool, typer.Option(help="Run less of everything.")] = False,
+    json: Annotated[bool, typer.Option("--json", help="Print JSON instead of text.")] = False,
+) -> None:
+    """Print the table of measures; exit code 1 if a row misses its target."""
+    groups = group or list(GROUPS)
+    for name in groups:
+        if name not in GROUPS:
+            raise typer.BadParameter(f"{name!r} is not one of {', '.join(GROUPS)}")
+    rows = list(measure_rows(groups, seed, _QUICK if quick else Effort()))
+    typer.echo(_as_json(rows) if json else format_rows(rows))
+    if not all(row.is_met for row in rows):
+        raise typer.Exit(1)
+
+
+@app.command()
+def speed() -> None:
+    """Compare statements/s through one process with a direct connection, in one run."""
+    figures = asyncio.run(measure_speed())
+    for name, value in figures._asdict().items():
+        typer.echo(f"{name}: {value:.3f}")
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run the command line.
+
+    :param arguments: without the program's name; those of the process by default.
+    :returns: exit code.
+    """
+    command = typer.main.get_command(app)
+    try:
+        result = command.main(
+            args=None if arguments is None else list(arguments),
+            prog_name="pistachiowinch measure",
+            standalone_mode=False,
+        )
+    except click.ClickException as error:
+        error.show()
+        return error.exit_code
+    except click.Abort:
+        return 1
+    return result if isinstance(result, int) else 0
