Shorten the path of plain reads in the gateway

Change: candidates are computed once and again only when the group's state or the configuration changes; a free slot is taken at once when nothing waits; grants are checked once per configuration version; a timer is set only for reads that wait. An exchange that ends in silence also closes the idle connections to the target.

--- a/libs/gateway/src/pistachiowinch/gateway/admission.py
+++ b/libs/gateway/src/pistachiowinch/gateway/admission.py
@@ -1,7 +1,5 @@
 """Decides whether a session may start new work at this host."""
 
-from collections.abc import Callable
-
 from returns.result import Failure, Result, Success
 
 from pistachiowinch.base.codes import (
@@ -24,6 +22,9 @@
 OPEN_CUSTOMER = "open"
 
 
+_GRANTED: Result[None, Refusal] = Success(None)
+
+
 def _refuse(code: ResultCode, detail: str) -> Failure[Refusal]:
     return Failure(Refusal(code, detail))
 
@@ -64,9 +65,13 @@
         :param session: the caller's session.
         :returns: a refusal if the key is withdrawn or the service is not allowed.
         """
-        return check_grant(
-            self._configuration.current, session.key_id, session.customer, session.service
-        )
+        configuration = self._configuration.current
+        if session.granted_version == configuration.version:
+            return _GRANTED
+        found = check_grant(configuration, session.key_id, session.customer, session.service)
+        if isinstance(found, Success):
+            session.granted_version = configuration.version
+        return found
 
     def check_new_work(self, session: Session) -> Result[None, Refusal]:
         """Check everything that a new statement or transaction needs.
@@ -122,6 +127,3 @@
     if owner is None or service not in owner["services"]:
         return _refuse(SERVICE_NOT_ALLOWED, f"customer {customer!r} may not use {service!r}")
     return Success(None)
-
-
-RefusalCheck = Callable[[Session], Result[None, Refusal]]
--- a/libs/gateway/src/pistachiowinch/gateway/exchange.py
+++ b/libs/gateway/src/pistachiowinch/gateway/exchange.py
@@ -2,16 +2,21 @@
 
 import asyncio
 
+from pistachiowinch.gateway.interfaces import PoolsConnections
 from pistachiowinch.links.targets import ExecuteOutcome, Lost, TargetConnection
 
 __all__ = ["exchange"]
 
 
-async def exchange(connection: TargetConnection, text: str, timeout_s: float) -> ExecuteOutcome:
+async def exchange(
+    pool: PoolsConnections | None, connection: TargetConnection, text: str, timeout_s: float
+) -> ExecuteOutcome:
     """Run one statement and treat silence as a lost answer.
 
-    After a timeout the connection is unusable, so a late answer can reach nobody.
+    After a timeout the connection is unusable, so a late answer can reach nobody. What silenced
+    one connection may have silenced the idle ones to the same target, so they are closed too.
 
+    :param pool: the connection's pool; None if its target has been removed.
     :param connection: a usable connection.
     :param text: the SQL text.
     :param timeout_s: seconds until the answer counts as lost.
@@ -23,4 +28,6 @@
         async with asyncio.timeout(timeout_s):
             return await connection.execute(text)
     except TimeoutError:
+        if pool is not None:
+            pool.close_idle()
         return Lost(is_sent=True, reason=f"no answer for {timeout_s:g} s")
--- a/libs/gateway/src/pistachiowinch/gateway/gateway.py
+++ b/libs/gateway/src/pistachiowinch/gateway/gateway.py
@@ -88,7 +88,9 @@
         self._use = TargetUse(self._settings.leaving_grace_s)
         self._use.update(configuration.current)
         self.admission = Admission(configuration, standing, availability_zone)
-        context = RunContext(services, configuration, self._use, retries, metrics, self._settings)
+        context = self._context = RunContext(
+            services, configuration, self._use, retries, metrics, self._settings
+        )
         outcomes = OutcomeResolver(context)
         self._reads = ReadPath(context)
         self._writes = WritePath(context, outcomes)
@@ -243,10 +245,10 @@
                 case Failure(refusal):
                     return Failure(refusal)
             # The wait for a rate token may have been long enough for a change of configuration.
-            match self.admission.check_running_work(session):
-                case Failure(refusal):
-                    await self._transactions.abandon(session, parts)
-                    return Failure(refusal)
+            checked = self.admission.check_running_work(session)
+            if isinstance(checked, Failure):
+                await self._transactions.abandon(session, parts)
+                return checked
         if session.name != session.resolved_name:
             await self._resolve_name(session)
         result = await self._route(session, statement, parts, deadline_s)
@@ -282,7 +284,7 @@
                 return await self._reads.run(session, statement, parts, deadline_s)
         if session.pinned is not None and statement.kind is not StatementKind.DDL:
             return await self._write_on_pin(session, statement, parts, is_recorded, deadline_s)
-        self._metrics.statements.labels(route="write").inc()
+        self._context.count_statement("write")
         return await self._writes.run(session, statement, parts, is_recorded, deadline_s)
 
     async def _run_in_transaction(
@@ -293,7 +295,7 @@
         is_recorded: bool,
         deadline_s: float,
     ) -> StatementResult:
-        self._metrics.statements.labels(route="transaction").inc()
+        self._context.count_statement("transaction")
         match statement.kind:
             case StatementKind.COMMIT:
                 return await self._transactions.commit(
--- a/libs/gateway/src/pistachiowinch/gateway/interfaces.py
+++ b/libs/gateway/src/pistachiowinch/gateway/interfaces.py
@@ -82,6 +82,9 @@
 class GrantsSlots(Protocol):
     """Grants the right to run a statement on a target now."""
 
+    def try_acquire(self, request: SlotRequest) -> SlotGrant | None:
+        """Take a free slot at once if nothing waits."""
+
     async def acquire(self, request: SlotRequest) -> Result[SlotGrant, Refusal]:
         """Wait in fair order for a slot on a target that the request may use."""
 
@@ -95,6 +98,10 @@
 class TracksGroup(GroupView, Protocol):
     """Tracker of one database group."""
 
+    @property
+    def revision(self) -> int:
+        """Number that grows with every change of what is known."""
+
     async def refresh(self, targets: Iterable[str]) -> None:
         """Read the state of targets once."""
 
@@ -130,6 +137,9 @@
     def release(self, connection: TargetConnection, is_clean: bool) -> None:
         """Return a connection; one that is not clean is closed."""
 
+    def close_idle(self) -> None:
+        """Close all idle connections."""
+
 
 class GatesTransactions(Protocol):
     """Holds new transactions back during a planned change of the primary."""
--- a/libs/gateway/src/pistachiowinch/gateway/reads.py
+++ b/libs/gateway/src/pistachiowinch/gateway/reads.py
@@ -23,6 +23,82 @@
 __all__ = ["ReadPath"]
 
 
+def _need_of(session: Session) -> ReadNeed:
+    staleness_ms = session.max_staleness_ms
+    return ReadNeed(
+        session.token,
+        None if staleness_ms is None else staleness_ms / 1000.0,
+        session.is_token_doubtful,
+    )
+
+
+class _Candidates:
+    """Targets that may serve one read, computed again when something relevant has changed.
+
+    :param excluded: targets that have lost an answer of this read; used again only if no other
+        target is left.
+    """
+
+    def __init__(
+        self, context: RunContext, session: Session, parts: ServiceParts, excluded: set[str]
+    ) -> None:
+        """Compute the targets for the first time."""
+        self.need = _need_of(session)
+        self._use = context.use
+        self._service = session.service
+        self._tracker = parts.tracker
+        self._excluded = excluded
+        self._basis: tuple[int, int] | None = None
+        self._replicas: frozenset[str] = frozenset()
+        self._is_primary_usable = False
+        self.primary_from_s = now_s() + context.settings.replica_wait_s
+        self.update()
+        self._had_replica = self.has_replica
+
+    @property
+    def has_replica(self) -> bool:
+        """Whether some replica may serve the read."""
+        return bool(self._replicas)
+
+    @property
+    def targets(self) -> list[str]:
+        """Targets worth asking for their state, the primary included."""
+        targets = set(self._use.in_use(self._service))
+        primary = self._tracker.primary
+        if primary is not None:
+            targets.add(primary)
+        return sorted(targets)
+
+    def update(self) -> None:
+        """Compute the targets again if the group's state or the configuration has changed."""
+        basis = (self._tracker.revision, self._use.version)
+        # An accepted age is exceeded by the mere passing of time.
+        if basis == self._basis and self.need.max_staleness_s is None:
+            return
+        self._basis = basis
+        in_use = set(self._use.in_use(self._service))
+        primary = self._tracker.primary
+        if primary is not None and self._use.may_write(self._service, primary):
+            in_use.add(primary)
+        remaining = in_use - self._excluded or in_use
+        found = read_candidates(self._tracker, remaining, self.need, now_s())
+        self._is_primary_usable = primary in found
+        self._replicas = frozenset(target for target in found if target != primary)
+
+    def may_use(self, target: str) -> bool:
+        """Tell whether the read may run on a target now.
+
+        :param target: a target with a free slot.
+        """
+        self.update()
+        if target in self._replicas:
+            return True
+        if not self._is_primary_usable or target != self._tracker.primary:
+            return False
+        # A busy replica is worth a short wait, because the primary has to serve the writes.
+        return not self._had_replica or now_s() >= self.primary_from_s
+
+
 class ReadPath:
     """Runs one read of one session."""
 
@@ -43,11 +119,9 @@
         excluded: set[str] = set()
         while True:
             borrowed = await self._borrow(session, parts, excluded, deadline_s)
-            match borrowed:
-                case Failure(refusal):
-                    return Failure(refusal)
-                case Success(held):
-                    pass
+            if not isinstance(borrowed, Success):
+                return borrowed
+            held = borrowed.unwrap()
             outcome = await self._run_on(held, statement, deadline_s)
             match outcome:
                 case Answered(answer):
@@ -68,8 +142,7 @@
 
     def _count(self, held: Borrowed) -> None:
         is_primary = held.grant.target == held.parts.tracker.primary
-        route = "primary_read" if is_primary else "replica_read"
-        self._context.metrics.statements.labels(route=route).inc()
+        self._context.count_statement("primary_read" if is_primary else "replica_read")
 
     async def _run_on(
         self, held: Borrowed, statement: Statement, deadline_s: float
@@ -77,7 +150,7 @@
         is_clean = False
         try:
             timeout_s = min(self._context.settings.exchange_timeout_s, deadline_s - now_s())
-            outcome = await exchange(held.connection, statement.text, timeout_s)
+            outcome = await exchange(held.pool, held.connection, statement.text, timeout_s)
             is_clean = not isinstance(outcome, Lost)
             return outcome
         finally:
@@ -93,80 +166,30 @@
     async def _borrow(
         self, session: Session, parts: ServiceParts, excluded: set[str], deadline_s: float
     ) -> Result[Borrowed, Refusal]:
-        need = _need_of(session)
-        candidates = self._candidates(session, parts, need, excluded)
-        if not any(target != parts.tracker.primary for target in candidates):
-            await self._await_replica(session, parts, need, excluded)
-        may_use = self._filter(session, parts, need, excluded)
-        loop = asyncio.get_running_loop()
-        wait_s = self._context.settings.replica_wait_s
-        timer = loop.call_later(wait_s, parts.scheduler.reconsider)
-        try:
-            return await self._context.borrow(session, parts, may_use, deadline_s)
-        finally:
-            timer.cancel()
-
-    def _candidates(
-        self, session: Session, parts: ServiceParts, need: ReadNeed, excluded: set[str]
-    ) -> list[str]:
-        in_use = set(self._context.use.in_use(session.service))
-        primary = parts.tracker.primary
-        if primary is not None and self._context.use.may_write(session.service, primary):
-            in_use.add(primary)
-        remaining = in_use - excluded or in_use
-        return read_candidates(parts.tracker, remaining, need, now_s())
+        candidates = _Candidates(self._context, session, parts, excluded)
+        if not candidates.has_replica:
+            await self._await_replica(parts, candidates)
+            candidates = _Candidates(self._context, session, parts, excluded)
+        may_use: Callable[[str], bool] = candidates.may_use
+        return await self._context.borrow(
+            session, parts, may_use, deadline_s, candidates.primary_from_s
+        )
 
-    async def _await_replica(
-        self, session: Session, parts: ServiceParts, need: ReadNeed, excluded: set[str]
-    ) -> None:
-        """Read the targets' positions again until one covers or the wait is over."""
-        give_up_s = now_s() + self._context.settings.replica_wait_s
-        targets = self._context.use.in_use(session.service)
-        if not need.is_primary_only:
-            targets = targets | {parts.tracker.primary} - {None}
+    async def _await_replica(self, parts: ServiceParts, candidates: _Candidates) -> None:
+        """Read the targets' positions again until a replica covers or the wait is over."""
+        wait_s = self._context.settings.replica_wait_s
+        give_up_s = now_s() + wait_s
+        need = candidates.need
         while True:
             try:
-                async with asyncio.timeout(self._context.settings.replica_wait_s):
-                    await parts.tracker.refresh(sorted(targets))
+                async with asyncio.timeout(wait_s):
+                    await parts.tracker.refresh(candidates.targets)
             except TimeoutError:
                 return
-            candidates = self._candidates(session, parts, need, excluded)
-            if need.is_primary_only or now_s() >= give_up_s:
-                return
-            if any(target != parts.tracker.primary for target in candidates):
+            candidates.update()
+            if need.is_primary_only or candidates.has_replica or now_s() >= give_up_s:
                 return
-            if not self._may_catch_up(parts, need):
+            # Only a missing position arrives by itself soon.
+            if need.token is None or parts.tracker.primary is None:
                 return
-            await asyncio.sleep(self._context.settings.replica_wait_s / 4)
-
-    def _may_catch_up(self, parts: ServiceParts, need: ReadNeed) -> bool:
-        """Tell whether waiting can help: only a missing position arrives by itself soon."""
-        return need.token is not None and parts.tracker.primary is not None
-
-    def _filter(
-        self, session: Session, parts: ServiceParts, need: ReadNeed, excluded: set[str]
-    ) -> Callable[[str], bool]:
-        primary_from_s = now_s() + self._context.settings.replica_wait_s
-        has_replica = any(
-            target != parts.tracker.primary
-            for target in self._candidates(session, parts, need, excluded)
-        )
-
-        def may_use(target: str) -> bool:
-            if target not in self._candidates(session, parts, need, excluded):
-                return False
-            if target != parts.tracker.primary:
-                return True
-            # A busy replica is worth a short wait, because the primary has to serve the writes.
-            return not has_replica or now_s() >= primary_from_s
-
-        return may_use
-
-
-def _need_of(session: Session) -> ReadNeed:
-    staleness_ms = session.max_staleness_ms
-    return ReadNeed(
-        session.token,
-        None if staleness_ms is None else staleness_ms / 1000.0,
-        session.is_token_doubtful,
-    )
+            await asyncio.sleep(wait_s / 4)
--- a/libs/gateway/src/pistachiowinch/gateway/transactions.py
+++ b/libs/gateway/src/pistachiowinch/gateway/transactions.py
@@ -162,7 +162,7 @@
         target, term = pinned.target, pinned.term
         if entry is not None:
             recorded = parts.ledger.insert_text(entry, Answer())
-            match await self._exchange(pinned, recorded, deadline_s):
+            match await self._exchange(parts, pinned, recorded, deadline_s):
                 case Failed(errno) as failed:
                     await self.abandon(session, parts)
                     if errno != DUPLICATE_KEY_ERRNO:
@@ -173,7 +173,7 @@
                     return _aborted_if_not_run(decided)
                 case Lost(_, reason):
                     return await self._aborted(session, parts, reason)
-        match await self._exchange(pinned, "COMMIT", deadline_s):
+        match await self._exchange(parts, pinned, "COMMIT", deadline_s):
             case Answered(answer):
                 self._unpin(session, parts)
                 acknowledged = await self._outcomes.acknowledge(
@@ -196,7 +196,7 @@
         self, session: Session, parts: ServiceParts, text: str, deadline_s: float
     ) -> Result[Answer, Refusal | Failed]:
         """End a transaction that needs no confirmation."""
-        match await self._exchange(session.pinned, text, deadline_s):
+        match await self._exchange(parts, session.pinned, text, deadline_s):
             case Answered(answer):
                 self._unpin(session, parts)
                 return Success(answer._replace(is_in_transaction=False))
@@ -226,10 +226,11 @@
         return Failure(Refusal(TRANSACTION_ABORTED, f"the transaction was rolled back: {reason}"))
 
     async def _exchange(
-        self, pinned: PinnedTransaction, text: str, deadline_s: float
+        self, parts: ServiceParts, pinned: PinnedTransaction, text: str, deadline_s: float
     ) -> ExecuteOutcome:
         timeout_s = min(self._context.settings.exchange_timeout_s, deadline_s - now_s())
-        return await exchange(pinned.connection, text, timeout_s)
+        pool = parts.pools.get(pinned.target)
+        return await exchange(pool, pinned.connection, text, timeout_s)
 
     async def _acquire_slot(
         self, session: Session, parts: ServiceParts, deadline_s: float
@@ -270,7 +271,7 @@
                 pass
         is_answered = False
         try:
-            outcome = await self._exchange(session.pinned, statement.text, deadline_s)
+            outcome = await self._exchange(parts, session.pinned, statement.text, deadline_s)
             is_answered = True
         finally:
             if grant is not None:
--- a/libs/gateway/src/pistachiowinch/gateway/work.py
+++ b/libs/gateway/src/pistachiowinch/gateway/work.py
@@ -1,8 +1,10 @@
 """Slots and connections for statements, with their safe return."""
 
+import asyncio
 from collections.abc import Callable
 from typing import NamedTuple
 
+from prometheus_client import Counter
 from returns.result import Failure, Result, Success
 
 from pistachiowinch.base.clock import now_s, sleep_s
@@ -53,12 +55,14 @@
         self._grace_s = grace_s
         self._left_at_s: dict[tuple[str, str], float] = {}
         self._in_use: dict[str, frozenset[str]] = {}
+        self._version = 0
 
     def update(self, configuration: Configuration) -> None:
         """Take over a new configuration.
 
         :param configuration: the version in force from now on.
         """
+        self._version = configuration.version
         document = configuration.document
         zones = document["availability_zones"]
         out = {name for name, entry in zones.items() if entry["state"] == "out"}
@@ -76,6 +80,11 @@
             del self._in_use[service]
         self._left_at_s = left
 
+    @property
+    def version(self) -> int:
+        """Version of the configuration in use."""
+        return self._version
+
     def in_use(self, service: str) -> frozenset[str]:
         """Targets that may take any new work.
 
@@ -114,6 +123,17 @@
         self.metrics = metrics
         self.settings = settings
         self._configuration = configuration
+        self._routes: dict[str, Counter] = {}
+
+    def count_statement(self, route: str) -> None:
+        """Count a statement by its route.
+
+        :param route: label of the counter.
+        """
+        counter = self._routes.get(route)
+        if counter is None:
+            counter = self._routes[route] = self.metrics.statements.labels(route=route)
+        counter.inc()
 
     def weight(self, customer: str) -> float:
         """Return a customer's weight in fair queues."""
@@ -156,6 +176,7 @@
         parts: ServiceParts,
         may_use: Callable[[str], bool],
         deadline_s: float,
+        wake_s: float | None = None,
     ) -> Result[Borrowed, Refusal]:
         """Wait for a slot and a connection on a target that may be used.
 
@@ -166,14 +187,16 @@
         :param parts: the service's parts.
         :param may_use: check of a target at the moment at which its slot is free.
         :param deadline_s: loop time at which the request is given up as not run.
+        :param wake_s: loop time at which ``may_use`` may allow more targets, or None.
         """
         request = SlotRequest(session.customer, self.weight(session.customer), deadline_s, may_use)
         while True:
-            match await parts.scheduler.acquire(request):
-                case Success(grant):
-                    pass
-                case refused:
-                    return refused
+            grant = parts.scheduler.try_acquire(request)
+            if grant is None:
+                waited = await self._wait_for_slot(parts, request, wake_s)
+                if not isinstance(waited, Success):
+                    return waited
+                grant = waited.unwrap()
             held = await self._connect(parts, grant, deadline_s)
             if isinstance(held, Success):
                 return held
@@ -183,6 +206,18 @@
                 return Failure(Refusal(DEADLINE_PASSED, "no target accepted a connection in time"))
             await sleep_s(self.settings.connect_backoff_s)
 
+    async def _wait_for_slot(
+        self, parts: ServiceParts, request: SlotRequest, wake_s: float | None
+    ) -> Result[SlotGrant, Refusal]:
+        if wake_s is None:
+            return await parts.scheduler.acquire(request)
+        loop = asyncio.get_running_loop()
+        timer = loop.call_at(wake_s, parts.scheduler.reconsider)
+        try:
+            return await parts.scheduler.acquire(request)
+        finally:
+            timer.cancel()
+
     async def borrow_primary(
         self, session: Session, parts: ServiceParts, deadline_s: float
     ) -> Result[Borrowed, Refusal]:
--- a/libs/gateway/src/pistachiowinch/gateway/writes.py
+++ b/libs/gateway/src/pistachiowinch/gateway/writes.py
@@ -156,7 +156,7 @@
     async def _exchange(self, held: Borrowed, text: str, deadline_s: float) -> ExecuteOutcome:
         remaining_s = deadline_s - now_s()
         timeout_s = min(self._context.settings.exchange_timeout_s, remaining_s)
-        return await exchange(held.connection, text, timeout_s)
+        return await exchange(held.pool, held.connection, text, timeout_s)
 
     async def _run_bare(self, held: Borrowed, statement: Statement, deadline_s: float) -> _Attempt:
         match await self._exchange(held, statement.text, deadline_s):
--- a/libs/groups/src/pistachiowinch/groups/tracker.py
+++ b/libs/groups/src/pistachiowinch/groups/tracker.py
@@ -115,6 +115,7 @@
         self._primary: str | None = None
         self._announced: tuple[int, str | None] = (0, None)
         self._highest_known_term = 0
+        self._revision = 0
         self._changes: Subject[GroupTracker] = Subject()
         self._changed = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -146,6 +147,11 @@
         """Primary of :attr:`term`; None during a promotion."""
         return self._primary
 
+    @property
+    def revision(self) -> int:
+        """Number that grows with every change of what is known."""
+        return self._revision
+
     @property
     def highest_known_term(self) -> int:
         """Greatest term that any target, peer or the store mentioned."""
@@ -240,6 +246,7 @@
         self._notify()
 
     def _notify(self) -> None:
+        self._revision += 1
         self._changed.set()
         self._changed = asyncio.Event()
         self._changes.on_next(self)
--- a/libs/limits/src/pistachiowinch/limits/fair_queue.py
+++ b/libs/limits/src/pistachiowinch/limits/fair_queue.py
@@ -90,6 +90,11 @@
         """Return the number of waiting requests, without those that gave up."""
         return sum(len(entries) for entries in self._live())
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether nothing waits; requests that gave up may still count."""
+        return not self._waiting
+
     def customers(self) -> list[tuple[str, list[Waiting]]]:
         """Customers with waiting requests."""
         self._prune()
@@ -109,7 +114,7 @@
         self._next_number += 1
         customer = request.customer
         if customer not in self._waiting:
-            self._activate(customer)
+            self.activate(customer)
         self._waiting.setdefault(customer, []).append(entry)
         self._assign(entry, targets)
         if len(self._waiting[customer]) > MAX_WAITING_PER_CUSTOMER:
@@ -163,7 +168,8 @@
             if not entries:
                 del self._waiting[customer]
 
-    def _activate(self, customer: str) -> None:
+    def activate(self, customer: str) -> None:
+        """Bring the virtual time of a customer that had no request up to date."""
         # Time during which a customer asked for nothing gives it no advantage later.
         active = [self.virtual.get(other, 0.0) for other in self._waiting]
         known = self.virtual.get(customer, 0.0)
--- a/libs/limits/src/pistachiowinch/limits/permit_pool.py
+++ b/libs/limits/src/pistachiowinch/limits/permit_pool.py
@@ -1,7 +1,7 @@
 """Permits that a host holds for one service, and which of them may start a request."""
 
 from collections import Counter
-from collections.abc import Collection, Mapping
+from collections.abc import Callable, Collection, Mapping
 
 from pistachiowinch.base.clock import now_s
 from pistachiowinch.limits.counters import LimitCounters
@@ -111,6 +111,28 @@
         permit.in_use = True
         return permit
 
+    def take_idle(
+        self, may_use: Callable[[str], bool], targets: Collection[str]
+    ) -> HeldPermit | None:
+        """Use the permit that was idle for longest out of those that a request may use.
+
+        :param may_use: whether the request may run on a target.
+        :param targets: targets that get requests.
+        :returns: the permit, or None.
+        """
+        self.expire()
+        found: HeldPermit | None = None
+        for permit in self._permits.values():
+            if permit.in_use or (found is not None and permit.used_s >= found.used_s):
+                continue
+            if permit.target not in targets or self._is_due_back(permit):
+                continue
+            if may_use(permit.target):
+                found = permit
+        if found is not None:
+            found.in_use = True
+        return found
+
     def put_back(self, permit: HeldPermit) -> None:
         """End the use of a permit; one that expired meanwhile is simply gone."""
         permit.in_use = False
--- a/libs/limits/src/pistachiowinch/limits/scheduler.py
+++ b/libs/limits/src/pistachiowinch/limits/scheduler.py
@@ -143,6 +143,24 @@
         self._dispatch()
         self._wake.set()
 
+    def try_acquire(self, request: SlotRequest) -> SlotGrant | None:
+        """Take a free slot at once, unless other requests wait for one.
+
+        :param request: the request.
+        :returns: a slot that must be released, or None; then :meth:`acquire` waits in order.
+        """
+        if not self._queue.is_empty:
+            return None
+        permit = self._pool.take_idle(request.may_use, self._slots)
+        if permit is None:
+            return None
+        self._queue.activate(request.customer)
+        self._weights[request.customer] = request.weight
+        number = next(self._numbers)
+        self._running[number] = _Running(request.customer, request.weight, permit)
+        self._queue.charge(request.customer, self._queue.estimate_s, request.weight)
+        return SlotGrant(permit.target, number)
+
     async def acquire(self, request: SlotRequest) -> Result[SlotGrant, Refusal]:
         """Wait for a slot.
 
--- a/libs/routing/src/pistachiowinch/routing/session.py
+++ b/libs/routing/src/pistachiowinch/routing/session.py
@@ -81,6 +81,7 @@
         self.service = service
         self.name: str | None = None
         self.resolved_name: str | None = None
+        self.granted_version: int | None = None
         self.token: SessionToken | None = None
         self.max_staleness_ms: int | None = None
         self.is_token_doubtful = False
