Balance again after requests spent a refill, and stop asking late peers sooner

Cause: a refill that waiting requests used up left a host emptier than its peers; with most messages late, hosts drained each other for the first seconds. Change: one more round after a shortage if the parts are unequal; a late peer is not asked for 0.4 s, doubled up to 1.6 s.

--- a/libs/limits/src/pistachiowinch/limits/rates.py
+++ b/libs/limits/src/pistachiowinch/limits/rates.py
@@ -58,7 +58,7 @@
 # Least time between rounds that refill the own part while no request waits.
 REFILL_GAP_S = 0.05
 # A peer that did not answer in time is not asked for this long, doubled each time.
-SILENCE_S = 0.1
+SILENCE_S = 0.4
 MAX_SILENCE_S = 1.6
 # After that it is lent only this part of the own tokens, until it reports a loan in time.
 PROBE_PART = 0.1
@@ -354,13 +354,13 @@
         uses its whole burst would be short. What is generated while a request waits makes up for
         a small difference.
         """
-        bucket = state.bucket
-        if at_s - state.last_round_s < REFILL_GAP_S:
-            return
-        missing = self._balanced_level(state, 0.0) - bucket.level
-        if missing > bucket.limit.rate_per_s * WAIT_S / 2:
+        if at_s - state.last_round_s >= REFILL_GAP_S and self._is_unbalanced(state):
             self._start_rounds(state)
 
+    def _is_unbalanced(self, state: _Customer) -> bool:
+        missing = self._balanced_level(state, 0.0) - state.bucket.level
+        return missing > state.bucket.limit.rate_per_s * WAIT_S / 2
+
     def _balanced_level(self, state: _Customer, need: float) -> float:
         """Own tokens if all hosts were equally full after ``need`` tokens were spent here.
 
@@ -397,9 +397,15 @@
                 gap_s = min(2.0 * gap_s, LAST_GAP_S)
                 if not self._serve(state):
                     break
+            if self._is_unbalanced(state):
+                # Requests that came meanwhile spent what was borrowed to balance the parts.
+                await self._run_round(state, False)
+                self._serve(state)
             self._keep_ahead(state)
         finally:
             state.rounds = None
+        if self._serve(state):
+            self._start_rounds(state)
 
     def _pause_s(self, state: _Customer, gap_s: float) -> float:
         """Time until the next round is worth its messages."""
