Wait for a writable target before comparing the final data

Cause: after all targets were fenced, the checks looked for a primary that did not exist yet. Change: a service without a writable target does not count as settled.

--- a/tests/groups/checks.py
+++ b/tests/groups/checks.py
@@ -12,6 +12,8 @@
 
 def primary_is_settled(site: GroupSite) -> bool:
     """Whether all live hosts know the same primary and all targets follow it."""
+    if not any(target.is_writable for target in site.group.targets.values()):
+        return False
     primary = site.primary()
     term = site.group.targets[primary].stream_term
     hosts = [host for host in site.hosts.values() if host.is_alive]
