--- /dev/null
+++ b/libs/gateway/src/pistachiowinch/gateway/reads.py
@@ -0,0 +1,195 @@
+"""Runs reads outside transactions: replicas first, the primary when no replica will do."""
+
+import asyncio
+from collections.abc import Callable
+
+from returns.result import Failure, Result, Success
+
+from pistachiowinch.base.clock import now_s
+from pistachiowinch.base.codes import (
+    NO_COVERING_TARGET,
+    READ_INTERRUPTED,
+    Refusal,
+)
+from pistachiowinch.gateway.exchange import exchange
+from pistachiowinch.gateway.interfaces import ServiceParts
+from pistachiowinch.gateway.work import Borrowed, RunContext
+from pistachiowinch.groups.confirmation import Confirmed
+from pistachiowinch.links.targets import Answer, Answered, Failed, Lost
+from pistachiowinch.routing.choice import ReadNeed, read_candidates
+from pistachiowinch.routing.session import Session
+from pistachiowinch.routing.statements import Statement
+
+__all__ = ["ReadPath"]
+
+
+def _need_of(session: Session) -> ReadNeed:
+    staleness_ms = session.max_staleness_ms
+    return ReadNeed(
+        session.token,
+        None if staleness_ms is None else staleness_ms / 1000.0,
+        session.is_token_doubtful,
+    )
+
+
+class _Candidates:
+    """Targets that may serve one read, computed again when something relevant has changed.
+
+    :param excluded: targets that have lost an answer of this read; used again only if no other
+        target is left.
+    """
+
+    def __init__(
+        self, context: RunContext, session: Session, parts: ServiceParts, excluded: set[str]
+    ) -> None:
+        """Compute the targets for the first time."""
+        self.need = _need_of(session)
+        self._use = context.use
+        self._service = session.service
+        self._tracker = parts.tracker
+        self._excluded = excluded
+        self._basis: tuple[int, int] | None = None
+        self._replicas: frozenset[str] = frozenset()
+        self._is_primary_usable = False
+        self.primary_from_s = now_s() + context.settings.replica_wait_s
+        self.update()
+        self._had_replica = self.has_replica
+
+    @property
+    def has_replica(self) -> bool:
+        """Whether some replica may serve the read."""
+        return bool(self._replicas)
+
+    @property
+    def targets(self) -> list[str]:
+        """Targets worth asking for their state, the primary included."""
+        targets = set(self._use.in_use(self._service))
+        primary = self._tracker.primary
+        if primary is not None:
+            targets.add(primary)
+        return sorted(targets)
+
+    def update(self) -> None:
+        """Compute the targets again if the group's state or the configuration has changed."""
+        basis = (self._tracker.revision, self._use.version)
+        # An accepted age is exceeded by the mere passing of time.
+        if basis == self._basis and self.need.max_staleness_s is None:
+            return
+        self._basis = basis
+        in_use = set(self._use.in_use(self._service))
+        primary = self._tracker.primary
+        if primary is not None and self._use.may_write(self._service, primary):
+            in_use.add(primary)
+        remaining = in_use - self._excluded or in_use
+        found = read_candidates(self._tracker, remaining, self.need, now_s())
+        self._is_primary_usable = primary in found
+        self._replicas = frozenset(target for target in found if target != primary)
+
+    def may_use(self, target: str) -> bool:
+        """Tell whether the read may run on a target now.
+
+        :param target: a target with a free slot.
+        """
+        self.update()
+        if target in self._replicas:
+            return True
+        if not self._is_primary_usable or target != self._tracker.primary:
+            return False
+        # A busy replica is worth a short wait, because the primary has to serve the writes.
+        return not self._had_replica or now_s() >= self.primary_from_s
+
+
+class ReadPath:
+    """Runs one read of one session."""
+
+    def __init__(self, context: RunContext) -> None:
+        """Keep what all paths share."""
+        self._context = context
+
+    async def run(
+        self, session: Session, statement: Statement, parts: ServiceParts, deadline_s: float
+    ) -> Result[Answer, Refusal | Failed]:
+        """Run a read and repeat it elsewhere when its answer is lost.
+
+        :param session: the caller's session.
+        :param statement: the read.
+        :param parts: the service's parts.
+        :param deadline_s: loop time at which the read is given up.
+        """
+        excluded: set[str] = set()
+        while True:
+            borrowed = await self._borrow(session, parts, excluded, deadline_s)
+            if not isinstance(borrowed, Success):
+                return borrowed
+            held = borrowed.unwrap()
+            outcome = await self._run_on(held, statement, deadline_s)
+            match outcome:
+                case Answered(answer):
+                    if not await self._is_current(session, held, deadline_s):
+                        refusal = Refusal(NO_COVERING_TARGET, "no primary could be confirmed")
+                        return Failure(refusal)
+                    self._count(held)
+                    return Success(answer)
+                case Failed():
+                    return Failure(outcome)
+                case Lost(_, reason):
+                    parts.tracker.note_lost(held.grant.target)
+                    excluded.add(held.grant.target)
+                    if now_s() >= deadline_s:
+                        return Failure(Refusal(READ_INTERRUPTED, reason))
+                    if not self._context.may_retry(session.customer, "read_answer_lost"):
+                        return Failure(Refusal(READ_INTERRUPTED, reason))
+
+    def _count(self, held: Borrowed) -> None:
+        is_primary = held.grant.target == held.parts.tracker.primary
+        self._context.count_statement("primary_read" if is_primary else "replica_read")
+
+    async def _run_on(
+        self, held: Borrowed, statement: Statement, deadline_s: float
+    ) -> Answered | Failed | Lost:
+        is_clean = False
+        try:
+            timeout_s = min(self._context.settings.exchange_timeout_s, deadline_s - now_s())
+            outcome = await exchange(held.pool, held.connection, statement.text, timeout_s)
+            is_clean = not isinstance(outcome, Lost)
+            return outcome
+        finally:
+            held.release(is_clean)
+
+    async def _is_current(self, session: Session, held: Borrowed, deadline_s: float) -> bool:
+        """Prove for a session with a doubtful token that it read from the current primary."""
+        if not session.is_token_doubtful:
+            return True
+        confirmation = await held.parts.confirmer.confirm(held.grant.target, held.term, deadline_s)
+        return isinstance(confirmation, Confirmed)
+
+    async def _borrow(
+        self, session: Session, parts: ServiceParts, excluded: set[str], deadline_s: float
+    ) -> Result[Borrowed, Refusal]:
+        candidates = _Candidates(self._context, session, parts, excluded)
+        if not candidates.has_replica:
+            await self._await_replica(parts, candidates)
+            candidates = _Candidates(self._context, session, parts, excluded)
+        may_use: Callable[[str], bool] = candidates.may_use
+        return await self._context.borrow(
+            session, parts, may_use, deadline_s, candidates.primary_from_s
+        )
+
+    async def _await_replica(self, parts: ServiceParts, candidates: _Candidates) -> None:
+        """Read the targets' positions again until a replica covers or the wait is over."""
+        wait_s = self._context.settings.replica_wait_s
+        give_up_s = now_s() + wait_s
+        need = candidates.need
+        while True:
+            try:
+                async with asyncio.timeout(wait_s):
+                    await parts.tracker.refresh(candidates.targets)
+            except TimeoutError:
+                return
+            candidates.update()
+            if need.is_primary_only or candidates.has_replica or now_s() >= give_up_s:
+                return
+            # Only a missing position arrives by itself soon.
+            if need.token is None or parts.tracker.primary is None:
+                return
+            await asyncio.sleep(wait_s / 4)
--- a/libs/peering/src/pistachiowinch/peering/messages.py
+++ b/libs/peering/src/pistachiowinch/peering/messages.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-__all__ = ["AnnouncedPrimary", "Heartbeat", "LocalState", "ReceivedHeartbeat"]
+__all__ = ["AnnouncedPrimary", "Heartbeat", "LocalState", "ReceivedHeartbeat", "ShortHeartbeat"]
 
 
 class AnnouncedPrimary(msgspec.Struct, array_like=True, frozen=True):
@@ -29,6 +29,8 @@
     :param suspected_hosts: members that this host has not heard for the suspicion time.
     :param primaries: newest known primary of each service.
     :param heard: hosts heard from within the last intervals.
+    :param config_pending: highest configuration version that this host knows or must assume to be
+        accepted; above ``config_version`` the sender does not confirm its own version.
     """
 
     host: str
@@ -43,6 +45,23 @@
     suspected_hosts: tuple[str, ...] = ()
     primaries: dict[str, AnnouncedPrimary] = {}
     heard: tuple[str, ...] = ()
+    config_pending: int = 0
+
+
+class ShortHeartbeat(msgspec.Struct, tag="sh", array_like=True, frozen=True):
+    """A heartbeat whose other fields equal those of an earlier one that the peer has received.
+
+    The membership completes it, so other parts only see :class:`Heartbeat`.
+
+    :param unchanged_since: sequence number of the first heartbeat with the same other fields.
+    """
+
+    incarnation: int
+    sequence: int
+    echo: int
+    echo_incarnation: int
+    store_age_ms: int
+    unchanged_since: int
 
 
 class LocalState(NamedTuple):
@@ -53,6 +72,7 @@
     store_age_ms: int
     suspected_targets: tuple[str, ...]
     primaries: dict[str, AnnouncedPrimary]
+    config_pending: int = 0
 
 
 class ReceivedHeartbeat(NamedTuple):
