--- a/libs/measure/src/pistachiowinch/measure/speed.py
+++ b/libs/measure/src/pistachiowinch/measure/speed.py
@@ -19,7 +19,7 @@
 from reactivex.subject import Subject
 from returns.result import Failure, Result, Success
 
-from pistachiowinch.base.clock import now_s
+from pistachiowinch.base.clock import now_s, sleep_s
 from pistachiowinch.base.codes import OUTCOME_UNKNOWN, Refusal
 from pistachiowinch.links.targets import (
     Answer,
@@ -60,6 +60,10 @@
 )
 
 
+# A host that has just started has no rate tokens yet.
+_START_S = 1.0
+
+
 class SpeedFigures(NamedTuple):
     """Result of one run.
 
@@ -224,10 +228,13 @@
     """Measure the server's Python memory for idle callers, without their own half."""
     login = TargetCredentials(KEY_ID, KEY)
     warm = await _open_callers(server.port, login, 2)
+    await _rate(warm, 2)
     gc.collect()
     tracemalloc.start(_TRACED_FRAMES)
     callers = await _open_callers(server.port, login, count)
-    await _rate(callers, 1)
+    for caller in callers:
+        # One after the other: tracing is slow, and opening the whole pool at once would time out.
+        await _rate([caller], 1)
     gc.collect()
     traces = tracemalloc.take_snapshot().traces
     tracemalloc.stop()
@@ -256,6 +263,7 @@
     await target.start(_HOST)
     direct_link = _link_to(target.port_of(TARGET), TargetCredentials(*_LOGIN))
     gateway = make_gateway(direct_link, callers)
+    await sleep_s(_START_S)
     server = CallerServer(gateway)
     await server.start(_HOST, 0)
     try:
