Bound the wait for a part that loses its cancellation

Cause: a host that was stopped right after its start, with the store down, hung: SiteReplica._seek_evidence got a store error from asyncio.gather in place of its cancellation, and its task group cancels only once. Change: a part is cancelled twice, 2 s apart, then left to the end of the event loop; a test with a lost cancellation. Conclusion: a stop ends in bounded time whatever one part does.

--- a/libs/operations/src/pistachiowinch/operations/parts.py
+++ b/libs/operations/src/pistachiowinch/operations/parts.py
@@ -12,6 +12,11 @@
 
 __all__ = ["PartRunner"]
 
+# A cancellation is lost when it meets a failing call in the same turn of the event loop: a store
+# error that asyncio.gather raised in its place once kept a stopping host waiting for ever.
+STOP_LIMIT_S = 2.0
+_STOP_ATTEMPTS = 2
+
 _log = part_logger("host")
 
 
@@ -68,14 +73,20 @@
         task = self._tasks.pop(name, None)
         if task is None:
             return
-        task.cancel()
-        try:
-            await task
-        except asyncio.CancelledError:
-            # Cancellation of the caller itself must not be swallowed.
-            if not task.cancelled():
-                raise
-        except Exception as error:
+        for _ in range(_STOP_ATTEMPTS):
+            task.cancel()
+            done, _pending = await asyncio.wait({task}, timeout=STOP_LIMIT_S)
+            if done:
+                self._note_end(name, task)
+                return
+            _log.warning("Part {} did not end within {:g} s.", name, STOP_LIMIT_S)
+        # The event loop cancels what is left when the process ends.
+        _log.error("Part {} is left behind.", name)
+
+    @staticmethod
+    def _note_end(name: str, task: asyncio.Task[Any]) -> None:
+        error = None if task.cancelled() else task.exception()
+        if error is not None:
             _log.warning("Part {} failed while it was stopped: {!r}.", name, error)
 
     async def stop_all(self) -> None:
--- a/tests/operations/test_parts.py
+++ b/tests/operations/test_parts.py
@@ -76,6 +76,30 @@
     assert parts.running == ()
 
 
+async def test_part_that_loses_its_cancellation_does_not_block_the_stop():
+    """Seen with 140 starts under load: a store error took the place of the cancellation."""
+
+    async def lose_one():
+        try:
+            await _forever()
+        except asyncio.CancelledError:
+            await _forever()
+
+    async def lose_one_in_a_group():
+        # A task group cancels its tasks only once, whatever happens to the group itself.
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(lose_one())
+
+    parts = PartRunner()
+    parts.start("first", lose_one())
+    parts.start("second", lose_one_in_a_group())
+    await asyncio.sleep(0.1)
+    started_s = asyncio.get_running_loop().time()
+    await parts.stop_all()
+    assert parts.running == ()
+    assert asyncio.get_running_loop().time() - started_s < 10.0
+
+
 async def test_two_parts_of_one_name_are_refused():
     parts = PartRunner()
     parts.start("roster", _forever())
