Share the targets of plain reads between requests and skip idle dispatches

Change: reads without special needs share their computed targets until the tracker's revision or the configuration changes; a release with nothing waiting no longer scans the permits.

--- a/libs/gateway/src/pistachiowinch/gateway/reads.py
+++ b/libs/gateway/src/pistachiowinch/gateway/reads.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import NamedTuple
 
 from returns.result import Failure, Result, Success
 
@@ -32,15 +33,36 @@
     )
 
 
+class _Found(NamedTuple):
+    """Targets that may serve reads of some need.
+
+    :param basis: revision of the tracker and version of the configuration.
+    """
+
+    basis: tuple[int, int]
+    replicas: frozenset[str]
+    is_primary_usable: bool
+
+
+_NO_NEED = ReadNeed(None, None, False)
+_FoundByService = dict[str, _Found]
+
+
 class _Candidates:
     """Targets that may serve one read, computed again when something relevant has changed.
 
     :param excluded: targets that have lost an answer of this read; used again only if no other
         target is left.
+    :param shared: targets for reads without special needs, kept over requests.
     """
 
     def __init__(
-        self, context: RunContext, session: Session, parts: ServiceParts, excluded: set[str]
+        self,
+        context: RunContext,
+        session: Session,
+        parts: ServiceParts,
+        excluded: set[str],
+        shared: _FoundByService,
     ) -> None:
         """Compute the targets for the first time."""
         self.need = _need_of(session)
@@ -48,9 +70,9 @@
         self._service = session.service
         self._tracker = parts.tracker
         self._excluded = excluded
-        self._basis: tuple[int, int] | None = None
-        self._replicas: frozenset[str] = frozenset()
-        self._is_primary_usable = False
+        # Most reads need nothing special, so that their targets can be shared.
+        self._shared = shared if self.need == _NO_NEED and not excluded else None
+        self._found: _Found | None = None
         self.primary_from_s = now_s() + context.settings.replica_wait_s
         self.update()
         self._had_replica = self.has_replica
@@ -58,7 +80,7 @@
     @property
     def has_replica(self) -> bool:
         """Whether some replica may serve the read."""
-        return bool(self._replicas)
+        return bool(self._found.replicas)
 
     @property
     def targets(self) -> list[str]:
@@ -72,18 +94,28 @@
     def update(self) -> None:
         """Compute the targets again if the group's state or the configuration has changed."""
         basis = (self._tracker.revision, self._use.version)
-        # An accepted age is exceeded by the mere passing of time.
-        if basis == self._basis and self.need.max_staleness_s is None:
+        found = self._found
+        # An accepted age is exceeded, and a leaving primary closed, by the mere passing of time.
+        is_timeless = self.need.max_staleness_s is None and not self._use.has_leaving
+        if found is not None and found.basis == basis and is_timeless:
             return
-        self._basis = basis
+        if self._shared is None or not is_timeless:
+            self._found = self._compute(basis)
+            return
+        found = self._shared.get(self._service)
+        if found is None or found.basis != basis:
+            found = self._shared[self._service] = self._compute(basis)
+        self._found = found
+
+    def _compute(self, basis: tuple[int, int]) -> _Found:
         in_use = set(self._use.in_use(self._service))
         primary = self._tracker.primary
         if primary is not None and self._use.may_write(self._service, primary):
             in_use.add(primary)
         remaining = in_use - self._excluded or in_use
         found = read_candidates(self._tracker, remaining, self.need, now_s())
-        self._is_primary_usable = primary in found
-        self._replicas = frozenset(target for target in found if target != primary)
+        replicas = frozenset(target for target in found if target != primary)
+        return _Found(basis, replicas, primary in found)
 
     def may_use(self, target: str) -> bool:
         """Tell whether the read may run on a target now.
@@ -91,9 +123,9 @@
         :param target: a target with a free slot.
         """
         self.update()
-        if target in self._replicas:
+        if target in self._found.replicas:
             return True
-        if not self._is_primary_usable or target != self._tracker.primary:
+        if not self._found.is_primary_usable or target != self._tracker.primary:
             return False
         # A busy replica is worth a short wait, because the primary has to serve the writes.
         return not self._had_replica or now_s() >= self.primary_from_s
@@ -105,6 +137,7 @@
     def __init__(self, context: RunContext) -> None:
         """Keep what all paths share."""
         self._context = context
+        self._shared: _FoundByService = {}
 
     async def run(
         self, session: Session, statement: Statement, parts: ServiceParts, deadline_s: float
@@ -166,10 +199,10 @@
     async def _borrow(
         self, session: Session, parts: ServiceParts, excluded: set[str], deadline_s: float
     ) -> Result[Borrowed, Refusal]:
-        candidates = _Candidates(self._context, session, parts, excluded)
+        candidates = _Candidates(self._context, session, parts, excluded, self._shared)
         if not candidates.has_replica:
             await self._await_replica(parts, candidates)
-            candidates = _Candidates(self._context, session, parts, excluded)
+            candidates = _Candidates(self._context, session, parts, excluded, self._shared)
         may_use: Callable[[str], bool] = candidates.may_use
         return await self._context.borrow(
             session, parts, may_use, deadline_s, candidates.primary_from_s
--- a/libs/gateway/src/pistachiowinch/gateway/work.py
+++ b/libs/gateway/src/pistachiowinch/gateway/work.py
@@ -85,6 +85,11 @@
         """Version of the configuration in use."""
         return self._version
 
+    @property
+    def has_leaving(self) -> bool:
+        """Whether some target is leaving or in a zone that is out."""
+        return bool(self._left_at_s)
+
     def in_use(self, service: str) -> frozenset[str]:
         """Targets that may take any new work.
 
--- a/libs/limits/src/pistachiowinch/limits/permit_pool.py
+++ b/libs/limits/src/pistachiowinch/limits/permit_pool.py
@@ -121,11 +121,12 @@
         :returns: the permit, or None.
         """
         self.expire()
+        at_s = now_s()
         found: HeldPermit | None = None
         for permit in self._permits.values():
             if permit.in_use or (found is not None and permit.used_s >= found.used_s):
                 continue
-            if permit.target not in targets or self._is_due_back(permit):
+            if permit.target not in targets or self._was_due_back(permit, at_s):
                 continue
             if may_use(permit.target):
                 found = permit
@@ -217,9 +218,12 @@
                 self._permits[seq] = HeldPermit(seq, target)
 
     def _is_due_back(self, permit: HeldPermit) -> bool:
+        return self._was_due_back(permit, now_s())
+
+    def _was_due_back(self, permit: HeldPermit, at_s: float) -> bool:
         if self.others_wait:
-            return now_s() - permit.since_s >= SLICE_S
-        return now_s() - permit.used_s >= IDLE_S
+            return at_s - permit.since_s >= SLICE_S
+        return at_s - permit.used_s >= IDLE_S
 
 
 def slots_of(slots: Mapping[str, int]) -> dict[str, int]:
--- a/libs/limits/src/pistachiowinch/limits/scheduler.py
+++ b/libs/limits/src/pistachiowinch/limits/scheduler.py
@@ -202,7 +202,9 @@
         self._queue.charge(running.customer, used_s - self._queue.estimate_s, running.weight)
         self._queue.learn_duration(used_s)
         self._pool.put_back(running.permit)
-        self._dispatch()
+        # With nothing waiting here or elsewhere, the next renewal returns what is due.
+        if self._pool.others_wait or not self._queue.is_empty:
+            self._dispatch()
 
     async def run(self) -> None:
         """Keep the broker informed until cancelled."""
