Measure the slopes for the capacity page; count each refusal once

Cause: the capacity page needs measured slopes; refusals of rates, queues and deadlines were counted by the limits and again by the gateway. Change: pistachiowinch measure capacity; the gateway leaves out what the limits count.

--- a/libs/gateway/src/pistachiowinch/gateway/gateway.py
+++ b/libs/gateway/src/pistachiowinch/gateway/gateway.py
@@ -9,8 +9,11 @@
 
 from pistachiowinch.base.clock import now_s, sleep_s
 from pistachiowinch.base.codes import (
+    DEADLINE_PASSED,
     HOST_STOPPING,
     INTERNAL,
+    QUEUE_FULL,
+    RATE_EXCEEDED,
     UNKNOWN_SERVICE,
     ZONE_OUT,
     Refusal,
@@ -42,6 +45,9 @@
 
 _STOP_POLL_S = 0.05
 
+# The limits count these refusals when they make them.
+_COUNTED_BY_LIMITS = (RATE_EXCEEDED, QUEUE_FULL, DEADLINE_PASSED)
+
 _log = part_logger("gateway")
 
 StatementResult = Result[Answer, Refusal | Failed]
@@ -346,5 +352,6 @@
         return entry is not None and entry["ledger"] == "always"
 
     def _refused(self, refusal: Refusal) -> Failure[Refusal]:
-        self._metrics.refusals.labels(reason=refusal.code.label).inc()
+        if refusal.code not in _COUNTED_BY_LIMITS:
+            self._metrics.refusals.labels(reason=refusal.code.label).inc()
         return Failure(refusal)
--- a/libs/gateway/src/pistachiowinch/gateway/work.py
+++ b/libs/gateway/src/pistachiowinch/gateway/work.py
@@ -208,7 +208,7 @@
             parts.tracker.note_lost(grant.target)
             self.metrics.retries.labels(reason="connect_failed").inc()
             if now_s() + self.settings.connect_backoff_s >= deadline_s:
-                return Failure(Refusal(DEADLINE_PASSED, "no target accepted a connection in time"))
+                return self._too_late("no target accepted a connection in time")
             await sleep_s(self.settings.connect_backoff_s)
 
     async def _wait_for_slot(
@@ -248,9 +248,13 @@
             if not is_entered:
                 held.release(is_clean=True)
         if not is_entered:
-            return Failure(Refusal(DEADLINE_PASSED, "a planned switch held the request back"))
+            return self._too_late("a planned switch held the request back")
         return Success(held)
 
+    def _too_late(self, detail: str) -> Failure[Refusal]:
+        self.metrics.refusals.labels(reason=DEADLINE_PASSED.label).inc()
+        return Failure(Refusal(DEADLINE_PASSED, detail))
+
     async def _connect(
         self, parts: ServiceParts, grant: SlotGrant, deadline_s: float
     ) -> Result[Borrowed, Refusal]:
--- a/libs/measure/src/pistachiowinch/measure/main.py
+++ b/libs/measure/src/pistachiowinch/measure/main.py
@@ -8,6 +8,7 @@
 import msgspec
 import typer
 
+from pistachiowinch.measure.capacity import format_slope, measure_slopes
 from pistachiowinch.measure.speed import measure_speed, start_pass_through
 from pistachiowinch.measure.speed_gateway import start_whole_gateway
 from pistachiowinch.measure.table import GROUPS, Effort, Row, format_rows, measure_rows
@@ -56,6 +57,13 @@
         )
 
 
+@app.command()
+def capacity() -> None:
+    """Print the slopes that docs/CAPACITY.md uses, each with its points."""
+    for slope in asyncio.run(measure_slopes()):
+        typer.echo(format_slope(slope))
+
+
 def main(arguments: Sequence[str] | None = None) -> int:
     """Run the command line.
 
