Find the stored answer of a request that ran under a derived entry

Cause: a repeated INSERT fails on its own row before its ledger row is written. The answer was then looked up under the first request id only. When the first attempt had been cancelled, the request had run under a derived id, and the caller got error 1062 for a write that had run. Change: follow the cancelled entries to the first one that is not, without cancelling any on the way; the number of a derived entry is read from its id. Conclusion: a repeated request gets its stored answer whichever attempt ran.

--- a/libs/gateway/src/pistachiowinch/gateway/outcomes.py
+++ b/libs/gateway/src/pistachiowinch/gateway/outcomes.py
@@ -105,6 +105,17 @@
             case Undecided(reason):
                 return _unknown(f"the outcome could not be decided in time: {reason}")
 
+    async def look_up(
+        self, session: Session, parts: ServiceParts, entry: LedgerEntry, deadline_s: float
+    ) -> Result[Answer, Refusal] | DidNotRun:
+        """Read a ledger entry without cancelling it.
+
+        :param entry: the entry; an absent one may still be written later.
+        :param deadline_s: loop time at which the outcome is reported as unknown.
+        """
+        # An entry that was sent nowhere, in no term, needs no cancellation.
+        return await self.decide(session, parts, "", 0, entry, deadline_s)
+
     def _record(self, session: Session, token: SessionToken) -> None:
         session.advance_token(token)
         session.is_token_doubtful = False
--- a/libs/gateway/src/pistachiowinch/gateway/writes.py
+++ b/libs/gateway/src/pistachiowinch/gateway/writes.py
@@ -62,14 +62,14 @@
     return f"pw-{uuid.uuid4().hex}"
 
 
-def _next_entry(entry: LedgerEntry, number: int) -> LedgerEntry:
+def _next_entry(entry: LedgerEntry) -> LedgerEntry:
     """Derive the entry of the attempt that follows a cancelled one.
 
     Every host derives the same names, so a request id still takes effect at most once: an
     attempt starts only after all earlier entries are finally cancelled.
     """
-    base = entry.request_id.partition(_ATTEMPT_SEPARATOR)[0]
-    return entry._replace(request_id=f"{base}{_ATTEMPT_SEPARATOR}{number}")
+    base, _, number = entry.request_id.partition(_ATTEMPT_SEPARATOR)
+    return entry._replace(request_id=f"{base}{_ATTEMPT_SEPARATOR}{int(number or 0) + 1}")
 
 
 def _interrupted() -> Failure[Refusal]:
@@ -101,7 +101,6 @@
         :param deadline_s: loop time at which the write is given up.
         """
         entry = self._entry(session, statement, is_always_recorded)
-        entries = 1
         while True:
             match await self._context.borrow_primary(session, parts, deadline_s):
                 case Success(held):
@@ -119,8 +118,7 @@
             ):
                 return _interrupted()
             if result.is_id_used and entry is not None:
-                entry = _next_entry(entry, entries)
-                entries += 1
+                entry = _next_entry(entry)
 
     def _entry(
         self, session: Session, statement: Statement, is_always_recorded: bool
@@ -252,10 +250,17 @@
     ) -> Result[Answer, Refusal | Failed]:
         """Prefer the stored answer of an earlier attempt to an error of this one.
 
-        A repeated INSERT fails on the row that its first attempt inserted. If there was no
-        earlier attempt, the decision leaves a cancelled entry and the error stands.
+        A repeated INSERT fails on the row that its first attempt inserted, possibly under a
+        derived entry. If there was no earlier attempt, the decision leaves a cancelled entry and
+        the error stands.
         """
-        found = await self._outcomes.decide(
-            session, held.parts, held.grant.target, held.term, entry, deadline_s
-        )
+        parts, target, term = held.parts, held.grant.target, held.term
+        while True:
+            found = await self._outcomes.look_up(session, parts, entry, deadline_s)
+            if not isinstance(found, DidNotRun):
+                return found
+            if not found.is_id_used:
+                break
+            entry = _next_entry(entry)
+        found = await self._outcomes.decide(session, parts, target, term, entry, deadline_s)
         return Failure(failed) if isinstance(found, DidNotRun) else found
