Ask for a session's name again after an interrupted question

Cause: the name counted as resolved before its token was asked for. A statement that was cancelled meanwhile left the session without a token and without doubt, so its next read could be stale. Change: note the name after the question. Conclusion: a named session misses no own write after an interrupted first statement.

--- a/libs/gateway/src/pistachiowinch/gateway/gateway.py
+++ b/libs/gateway/src/pistachiowinch/gateway/gateway.py
@@ -257,9 +257,11 @@
 
     async def _resolve_name(self, session: Session) -> None:
         """Find the writes that a session of this name made elsewhere."""
-        session.resolved_name = session.name
-        if session.name is not None and session.token is None:
+        name = session.name
+        if name is not None and session.token is None:
             await self._names.recover(session)
+        # A question that was interrupted has to be asked again by the next statement.
+        session.resolved_name = name
 
     async def _route(
         self, session: Session, statement: Statement, parts: ServiceParts, deadline_s: float
