Keep connections with state that was set inside a transaction

Cause: SET inside a transaction ran as an ordinary statement. After COMMIT the connection went back to the pool with the caller's session variables. Change: mark the connection as one with state, as outside a transaction. Conclusion: no caller inherits another one's session variables.

--- a/libs/gateway/src/pistachiowinch/gateway/gateway.py
+++ b/libs/gateway/src/pistachiowinch/gateway/gateway.py
@@ -311,6 +311,8 @@
                 if not isinstance(committed, Success):
                     return committed
                 return await self._route(session, statement, parts, deadline_s)
+            case StatementKind.SESSION_STATE:
+                return await self._transactions.set_state(session, statement, parts, deadline_s)
             case _:
                 return await self._transactions.run(session, statement, parts, deadline_s)
 
