Leave the gate while a session only keeps connection state

Cause: the connection of a session that had run SET was counted by the primary's gate until the session ended, and so was one whose next BEGIN was refused. Each idle session of this kind held a planned switch up for its whole drain limit. Change: leave the gate after SET outside a transaction and after a BEGIN that failed. Conclusion: the gate counts open transactions only.

--- a/libs/gateway/src/pistachiowinch/gateway/transactions.py
+++ b/libs/gateway/src/pistachiowinch/gateway/transactions.py
@@ -47,6 +47,8 @@
             session.pinned.enter_gate(parts.group.gate.leave)
         result = await self._run_on_pin(session, statement, parts, deadline_s)
         if not isinstance(result, Success):
+            if session.pinned is not None:
+                session.pinned.leave_gate()
             return result
         pinned = session.pinned
         pinned.is_open = True
@@ -69,8 +71,12 @@
         :param deadline_s: loop time at which the attempt is given up as not run.
         """
         result = await self._run_on_pin(session, statement, parts, deadline_s)
-        if session.pinned is not None:
-            session.pinned.has_state = True
+        pinned = session.pinned
+        if pinned is not None:
+            pinned.has_state = True
+            if not pinned.is_open:
+                # State alone must not hold up a planned switch; each transaction enters again.
+                pinned.leave_gate()
         return result
 
     async def run(
