Retry a write that a replaced primary refused as read-only

Cause: a write that reached a target after its fence got the target's error 1290. It was passed on to the caller, although the write had not run and the next primary could run it. Change: treat the read-only errors as not run, read the target's status and retry within the budget. Conclusion: a promotion that a host has not noticed causes a retry in place of an error.

--- a/libs/gateway/src/pistachiowinch/gateway/exchange.py
+++ b/libs/gateway/src/pistachiowinch/gateway/exchange.py
@@ -2,9 +2,23 @@
 
 import asyncio
 
-from pistachiowinch.links.targets import ExecuteOutcome, Lost, TargetConnection
+from pistachiowinch.links.targets import ExecuteOutcome, Failed, Lost, TargetConnection
 
-__all__ = ["exchange"]
+__all__ = ["exchange", "is_read_only_error"]
+
+# MySQL also uses the first number for other options, which its message names.
+_ERRNO_OPTION_PREVENTS = 1290
+_ERRNO_READ_ONLY_MODE = 1836
+
+
+def is_read_only_error(failed: Failed) -> bool:
+    """Tell whether a target refused a write because it is no longer the primary.
+
+    :param failed: the target's error.
+    """
+    if failed.errno == _ERRNO_OPTION_PREVENTS:
+        return "read-only" in failed.message
+    return failed.errno == _ERRNO_READ_ONLY_MODE
 
 
 async def exchange(connection: TargetConnection, text: str, timeout_s: float) -> ExecuteOutcome:
--- a/libs/gateway/src/pistachiowinch/gateway/writes.py
+++ b/libs/gateway/src/pistachiowinch/gateway/writes.py
@@ -8,7 +8,7 @@
 
 from pistachiowinch.base.clock import now_s
 from pistachiowinch.base.codes import INTERRUPTED_NOT_RUN, OUTCOME_UNKNOWN, Refusal
-from pistachiowinch.gateway.exchange import exchange
+from pistachiowinch.gateway.exchange import exchange, is_read_only_error
 from pistachiowinch.gateway.interfaces import ServiceParts
 from pistachiowinch.gateway.outcomes import DidNotRun, OutcomeResolver
 from pistachiowinch.gateway.work import Borrowed, RunContext
@@ -17,7 +17,7 @@
 from pistachiowinch.routing.session import Session
 from pistachiowinch.routing.statements import Statement, StatementKind
 
-__all__ = ["DUPLICATE_KEY_ERRNO", "WritePath", "new_request_id"]
+__all__ = ["DUPLICATE_KEY_ERRNO", "WritePath", "new_request_id", "next_entry"]
 
 DUPLICATE_KEY_ERRNO = 1062
 # Callers' request ids cannot contain control characters, so derived names never collide with one.
@@ -54,7 +54,15 @@
     failed: Failed
 
 
-_Attempt = _Done | _Interrupted | _Duplicate | _Refused
+class _ReadOnly(NamedTuple):
+    """The target is no longer the primary and refused the write."""
+
+
+_Attempt = _Done | _Interrupted | _Duplicate | _Refused | _ReadOnly
+
+
+def _refused(failed: Failed) -> _Refused | _ReadOnly:
+    return _ReadOnly() if is_read_only_error(failed) else _Refused(failed)
 
 
 def new_request_id() -> str:
@@ -62,11 +70,13 @@
     return f"pw-{uuid.uuid4().hex}"
 
 
-def _next_entry(entry: LedgerEntry) -> LedgerEntry:
+def next_entry(entry: LedgerEntry) -> LedgerEntry:
     """Derive the entry of the attempt that follows a cancelled one.
 
     Every host derives the same names, so a request id still takes effect at most once: an
     attempt starts only after all earlier entries are finally cancelled.
+
+    :param entry: the cancelled entry.
     """
     base, _, number = entry.request_id.partition(_ATTEMPT_SEPARATOR)
     return entry._replace(request_id=f"{base}{_ATTEMPT_SEPARATOR}{int(number or 0) + 1}")
@@ -118,7 +128,7 @@
             ):
                 return _interrupted()
             if result.is_id_used and entry is not None:
-                entry = _next_entry(entry)
+                entry = next_entry(entry)
 
     def _entry(
         self, session: Session, statement: Statement, is_always_recorded: bool
@@ -145,7 +155,7 @@
                 attempt = await self._run_bare(held, statement, deadline_s)
             else:
                 attempt = await self._run_recorded(held, statement, entry, deadline_s)
-            is_clean = not isinstance(attempt, _Interrupted)
+            is_clean = not isinstance(attempt, _Interrupted | _ReadOnly)
             return attempt
         finally:
             held.release(is_clean)
@@ -161,7 +171,7 @@
             case Answered(answer):
                 return _Done(answer)
             case Failed() as failed:
-                return _Refused(failed)
+                return _refused(failed)
             case Lost(is_sent, reason):
                 step = _Step.COMMIT_SENT if is_sent else _Step.BEFORE_COMMIT
                 return _Interrupted(step, reason)
@@ -171,21 +181,21 @@
     ) -> _Attempt:
         match await self._exchange(held, "BEGIN", deadline_s):
             case Failed() as failed:
-                return _Refused(failed)
+                return _refused(failed)
             case Lost(_, reason):
                 return _Interrupted(_Step.BEFORE_COMMIT, reason)
         match await self._exchange(held, statement.text, deadline_s):
             case Answered(answer):
                 pass
             case Failed() as failed:
-                return await self._roll_back(held, _Refused(failed), deadline_s)
+                return await self._roll_back(held, _refused(failed), deadline_s)
             case Lost(_, reason):
                 return _Interrupted(_Step.BEFORE_COMMIT, reason)
         recorded = held.parts.ledger.insert_text(entry, answer)
         match await self._exchange(held, recorded, deadline_s):
             case Failed(errno) as failed:
                 is_duplicate = errno == DUPLICATE_KEY_ERRNO
-                attempt = _Duplicate() if is_duplicate else _Refused(failed)
+                attempt = _Duplicate() if is_duplicate else _refused(failed)
                 return await self._roll_back(held, attempt, deadline_s)
             case Lost(_, reason):
                 return _Interrupted(_Step.BEFORE_COMMIT, reason)
@@ -228,6 +238,10 @@
                 if entry is None or statement.request_id is None:
                     return Failure(failed)
                 return await self._stored_or(session, held, entry, failed, deadline_s)
+            case _ReadOnly():
+                # The retry has to wait for the new primary instead of using this target again.
+                await parts.tracker.refresh([target])
+                return DidNotRun()
             case _Interrupted(step, reason):
                 parts.tracker.note_lost(target)
                 if step is _Step.BEFORE_COMMIT:
@@ -261,6 +275,6 @@
                 return found
             if not found.is_id_used:
                 break
-            entry = _next_entry(entry)
+            entry = next_entry(entry)
         found = await self._outcomes.decide(session, parts, target, term, entry, deadline_s)
         return Failure(failed) if isinstance(found, DidNotRun) else found
