Let a transaction commit again after its request id was cancelled

Cause: when the outcome of a lost COMMIT is decided as not run, the ledger keeps a cancelled row. The caller is told to run the whole transaction again, and with the same request id each repetition met that row and was aborted again. A write in a transaction at a fenced primary returned the target's error 1290 and left the session in a transaction that could not commit. Change: a cancelled row makes COMMIT go on under the next derived id, as for single writes; the read-only errors abort the transaction. Conclusion: the advice of TRANSACTION_ABORTED can be followed with the same request id.

--- a/libs/gateway/src/pistachiowinch/gateway/transactions.py
+++ b/libs/gateway/src/pistachiowinch/gateway/transactions.py
@@ -4,11 +4,11 @@
 
 from pistachiowinch.base.clock import now_s
 from pistachiowinch.base.codes import DEADLINE_PASSED, OUTCOME_UNKNOWN, TRANSACTION_ABORTED, Refusal
-from pistachiowinch.gateway.exchange import exchange
+from pistachiowinch.gateway.exchange import exchange, is_read_only_error
 from pistachiowinch.gateway.interfaces import ServiceParts
 from pistachiowinch.gateway.outcomes import DidNotRun, OutcomeResolver
 from pistachiowinch.gateway.work import Borrowed, RunContext
-from pistachiowinch.gateway.writes import DUPLICATE_KEY_ERRNO, new_request_id
+from pistachiowinch.gateway.writes import DUPLICATE_KEY_ERRNO, new_request_id, next_entry
 from pistachiowinch.groups.confirmation import Confirmed
 from pistachiowinch.groups.ledger import LedgerEntry, statement_digest
 from pistachiowinch.limits.scheduler import SlotGrant, SlotRequest
@@ -166,17 +166,25 @@
     ) -> Result[Answer, Refusal | Failed]:
         pinned = session.pinned
         target, term = pinned.target, pinned.term
-        if entry is not None:
+        while entry is not None:
             recorded = parts.ledger.insert_text(entry, Answer())
             match await self._exchange(pinned, recorded, deadline_s):
-                case Failed(errno) as failed:
+                case Answered():
+                    break
+                case Failed() as failed if is_read_only_error(failed):
+                    return await self._aborted(session, parts, "the primary was replaced")
+                case Failed(errno) as failed if errno != DUPLICATE_KEY_ERRNO:
                     await self.abandon(session, parts)
-                    if errno != DUPLICATE_KEY_ERRNO:
-                        return Failure(failed)
-                    decided = await self._outcomes.decide(
-                        session, parts, target, term, entry, deadline_s
-                    )
-                    return _aborted_if_not_run(decided)
+                    return Failure(failed)
+                case Failed():
+                    # The failed INSERT left the transaction open. An earlier attempt either ran,
+                    # or was cancelled and this one goes on under the next entry.
+                    found = await self._outcomes.look_up(session, parts, entry, deadline_s)
+                    if isinstance(found, DidNotRun) and found.is_id_used:
+                        entry = next_entry(entry)
+                        continue
+                    await self.abandon(session, parts)
+                    return _aborted_if_not_run(found)
                 case Lost(_, reason):
                     return await self._aborted(session, parts, reason)
         match await self._exchange(pinned, "COMMIT", deadline_s):
@@ -300,6 +308,8 @@
                 pinned.request_id = statement.request_id or pinned.request_id
                 pinned.statement_texts.append(statement.text)
                 return Success(answer)
+            case Failed() if is_read_only_error(outcome):
+                return await self._aborted(session, parts, "the primary was replaced")
             case Failed(errno):
                 if errno == _DEADLOCK_ERRNO or not (pinned.is_open or pinned.has_state):
                     await self.abandon(session, parts)
