--- a/libs/gateway/src/pistachiowinch/gateway/gateway.py
+++ b/libs/gateway/src/pistachiowinch/gateway/gateway.py
@@ -265,9 +265,11 @@
 
     async def _resolve_name(self, session: Session) -> None:
         """Find the writes that a session of this name made elsewhere."""
-        session.resolved_name = session.name
-        if session.name is not None and session.token is None:
+        name = session.name
+        if name is not None and session.token is None:
             await self._names.recover(session)
+        # A question that was interrupted has to be asked again by the next statement.
+        session.resolved_name = name
 
     async def _route(
         self, session: Session, statement: Statement, parts: ServiceParts, deadline_s: float
@@ -317,6 +319,8 @@
                 if not isinstance(committed, Success):
                     return committed
                 return await self._route(session, statement, parts, deadline_s)
+            case StatementKind.SESSION_STATE:
+                return await self._transactions.set_state(session, statement, parts, deadline_s)
             case _:
                 return await self._transactions.run(session, statement, parts, deadline_s)
 
