Skip the loans in buckets that hold none

Cause: each request advanced its bucket with sorted loan ends, tuples and generator sums, although most buckets hold no loans in either direction. Change: the steps that end loans and the sums over them run only when there are loans.

--- a/libs/limits/src/pistachiowinch/limits/bucket.py
+++ b/libs/limits/src/pistachiowinch/limits/bucket.py
@@ -100,11 +100,15 @@
     @property
     def outstanding(self) -> float:
         """Lent tokens that may still be used elsewhere."""
+        if not self._lent:
+            return 0.0
         return sum(lent.outstanding for lent in self._lent.values())
 
     @property
     def borrowed(self) -> float:
         """Usable tokens of other hosts."""
+        if not self._borrowed:
+            return 0.0
         return sum(entry.remaining for entry in self._borrowed)
 
     @property
@@ -143,11 +147,14 @@
 
     def advance(self, now_s: float) -> None:
         """Generate tokens and end loans up to a time."""
-        for until_s in self._loan_ends_s(now_s):
-            self._generate(until_s)
-            self._drop_lent(until_s)
+        # Every request advances its bucket, and most buckets hold no loans.
+        if self._lent:
+            for until_s in self._loan_ends_s(now_s):
+                self._generate(until_s)
+                self._drop_lent(until_s)
         self._generate(now_s)
-        self._expire_borrowed(now_s)
+        if self._borrowed:
+            self._expire_borrowed(now_s)
 
     def try_take(self, now_s: float) -> bool:
         """Spend one token if there is one, borrowed ones first because they expire."""
