Create a missing ledger table on demand, count promotions, keep cancellations

Cause: writes to a service without its ledger table failed with error 1146; promotions were not counted; a cancelled stop could hang when a store error came in the same moment (seen in 1 of 140 stops by the operations tests). Change: the write path creates the table and runs again; Promoter counts outcomes; the evidence reads use a TaskGroup. Conclusion: each has a test except the cancellation, whose moment could not be reproduced.

--- a/libs/configuration/src/pistachiowinch/configuration/site.py
+++ b/libs/configuration/src/pistachiowinch/configuration/site.py
@@ -93,9 +93,15 @@
         :raises StoreError: if the store did not answer.
         :raises MalformedRecord: if a record cannot be decoded.
         """
-        (epoch, roster_sent_s), head = await asyncio.gather(
-            self.roster.read(), read_head(self._store, self.state)
-        )
+        # A TaskGroup, unlike gather, does not lose a cancellation to an error of the same moment.
+        try:
+            async with asyncio.TaskGroup() as reads:
+                roster_read = reads.create_task(self.roster.read())
+                head_read = reads.create_task(read_head(self._store, self.state))
+        except* (StoreError, MalformedRecord) as errors:
+            raise errors.exceptions[0] from None
+        epoch, roster_sent_s = roster_read.result()
+        head = head_read.result()
         sent_s = min(roster_sent_s, head.sent_s)
         if head.record.version > self.state.config_version:
             # The version read now may be newer still; evidence then waits for the next round.
--- a/libs/gateway/src/pistachiowinch/gateway/interfaces.py
+++ b/libs/gateway/src/pistachiowinch/gateway/interfaces.py
@@ -122,6 +122,9 @@
     def insert_text(self, entry: LedgerEntry, answer: Answer) -> str:
         """SQL that records a write in its own transaction."""
 
+    async def ensure_table(self) -> bool:
+        """Create the ledger table at the primary if it is missing."""
+
     async def decide(
         self, entry: LedgerEntry, target: str, term: int, deadline_s: float
     ) -> Decision:
--- a/libs/gateway/src/pistachiowinch/gateway/writes.py
+++ b/libs/gateway/src/pistachiowinch/gateway/writes.py
@@ -20,6 +20,7 @@
 __all__ = ["DUPLICATE_KEY_ERRNO", "WritePath", "new_request_id", "next_entry"]
 
 DUPLICATE_KEY_ERRNO = 1062
+_NO_TABLE_ERRNO = 1146
 # Callers' request ids cannot contain control characters, so derived names never collide with one.
 _ATTEMPT_SEPARATOR = "\x1f"
 
@@ -193,6 +194,11 @@
                 return _Interrupted(_Step.BEFORE_COMMIT, reason)
         recorded = held.parts.ledger.insert_text(entry, answer)
         match await self._exchange(held, recorded, deadline_s):
+            case Failed(errno=errno) if errno == _NO_TABLE_ERRNO:
+                # A service that was just configured may not have its ledger table yet.
+                await held.parts.ledger.ensure_table()
+                missing = _Interrupted(_Step.BEFORE_COMMIT, "the ledger table was missing")
+                return await self._roll_back(held, missing, deadline_s)
             case Failed(errno) as failed:
                 is_duplicate = errno == DUPLICATE_KEY_ERRNO
                 attempt = _Duplicate() if is_duplicate else _refused(failed)
--- a/libs/groups/src/pistachiowinch/groups/group.py
+++ b/libs/groups/src/pistachiowinch/groups/group.py
@@ -9,6 +9,7 @@
 from pistachiowinch.base.codes import NO_PRIMARY, Refusal
 from pistachiowinch.base.hashing import rendezvous_order
 from pistachiowinch.base.identity import NO_INCARNATION
+from pistachiowinch.base.metrics import Metrics
 from pistachiowinch.groups.announcements import PrimaryStore
 from pistachiowinch.groups.confirmation import WriteConfirmer
 from pistachiowinch.groups.detection import FailureVotes
@@ -49,6 +50,7 @@
     :param membership: heartbeats of the peers.
     :param messenger: messages to and from the peers.
     :param site: this host and the active roster.
+    :param metrics: where promotions are counted.
     """
 
     def __init__(
@@ -61,6 +63,7 @@
         membership: MembershipView,
         messenger: GroupMessenger,
         site: SiteView,
+        metrics: Metrics | None = None,
     ) -> None:
         """Build the parts; :meth:`run` starts them."""
         self._service = service
@@ -73,7 +76,9 @@
         self.ledger = Ledger(self.tracker, self.confirmer, target_link)
         self.gate = TransactionGate()
         self._votes = FailureVotes(self.tracker, membership, site)
-        self.promoter = Promoter(self.tracker, group_link, self._store, site, self._publish)
+        self.promoter = Promoter(
+            self.tracker, group_link, self._store, site, self._publish, metrics or Metrics()
+        )
         self._switch = PlannedSwitch(self.tracker, self.promoter, self.gate, messenger, site)
         self._watch = GroupWatch(
             self.tracker, self._votes, self.promoter, site, membership.heartbeats
--- a/libs/groups/src/pistachiowinch/groups/promotion.py
+++ b/libs/groups/src/pistachiowinch/groups/promotion.py
@@ -14,6 +14,7 @@
 from pistachiowinch.base.codes import NO_PRIMARY, Refusal
 from pistachiowinch.base.identity import NO_INCARNATION
 from pistachiowinch.base.logs import part_logger
+from pistachiowinch.base.metrics import Metrics
 from pistachiowinch.groups.announcements import PrimaryStore, StoredPrimary
 from pistachiowinch.groups.site import SiteView
 from pistachiowinch.groups.terms import next_term
@@ -54,6 +55,7 @@
     :param store: announcements.
     :param site: this host's name and incarnation.
     :param publish: tells the peers about ``(term, primary)``; the primary is empty at the start.
+    :param metrics: where attempts are counted by outcome.
     """
 
     def __init__(
@@ -63,8 +65,10 @@
         store: PrimaryStore,
         site: SiteView,
         publish: Publish,
+        metrics: Metrics,
     ) -> None:
         """Start without a promotion."""
+        self._promotions = metrics.promotions
         self._tracker = tracker
         self._link = link
         self._store = store
@@ -96,9 +100,12 @@
             return _refused("this host has no incarnation")
         self._is_running = True
         try:
-            return await self._attempt(preferred)
+            result = await self._attempt(preferred)
         finally:
             self._is_running = False
+        outcome = "promoted" if isinstance(result, Success) else "failed"
+        self._promotions.labels(outcome=outcome).inc()
+        return result
 
     async def _attempt(self, preferred: Sequence[str]) -> Result[Promoted, Refusal]:
         tracker, service = self._tracker, self._tracker.service
--- a/libs/operations/src/pistachiowinch/operations/services.py
+++ b/libs/operations/src/pistachiowinch/operations/services.py
@@ -95,6 +95,7 @@
             builder.membership,
             builder.messenger,
             builder.site,
+            builder.metrics,
         )
         self.scheduler = builder.make_scheduler(name)
         # A waiting request may fit a target as soon as the group's state changes.
--- a/tests/gateway/test_writes.py
+++ b/tests/gateway/test_writes.py
@@ -265,3 +265,28 @@
     text = "CREATE TABLE other (id INT PRIMARY KEY)"
     assert refused_with(await world.run(session, text)) is OUTCOME_UNKNOWN
     assert sum(s.text == text for s in world.site.sent) == 1
+
+
+@with_world
+async def test_missing_ledger_table_is_created_and_the_write_runs_once(world):
+    """Guards against error 1146 for writes to a service that was configured a moment ago."""
+    session = await world.login()
+    await world.run_all(session, "CREATE TABLE other (name VARCHAR(40) PRIMARY KEY)")
+    world.group.load(world.primary, ["DROP TABLE pistachiowinch_ledger"])
+    await sleep_s(0.3)
+    (await world.run(session, insert("a"))).unwrap()
+    assert world.names() == ["a"]
+
+
+@with_world
+async def test_promotions_are_counted_once_over_all_hosts(world):
+    """Guards against a promotion that operators cannot see in the metrics."""
+    old = world.primary
+    world.group.crash(old)
+    await world.replaced(old)
+    await sleep_s(1.0)
+    counts = [
+        host.metrics.promotions.labels(outcome="promoted")._value.get()
+        for host in world.site.hosts.values()
+    ]
+    assert sum(counts) == 1
