Make tests of leaving targets, DDL and the gate stricter

Cause: without the guards for leaving targets, for DDL in a transaction and for a hold that starts while a connection opens, the tests still passed. Change: the leaving replica is the one that serves the reads; a leaving primary without a switch, DDL right after its commit and a held write have tests.

--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -1,18 +1,22 @@
 """Guards against new work at hosts, zones, targets or with keys that were taken out."""
 
 import pytest
-from gateway.gateway_world import DEPLOYMENT, SERVICE, insert, refused_with, with_world
+from gateway.gateway_world import DEPLOYMENT, HOSTS, SERVICE, insert, refused_with, with_world
+from returns.result import Failure
 
 from pistachiowinch.base.clock import now_s, sleep_s
 from pistachiowinch.base.codes import (
+    DEADLINE_PASSED,
     HOST_ISOLATED,
     HOST_STOPPING,
     INTERNAL,
     KEY_WITHDRAWN,
+    NO_PRIMARY,
     SERVICE_NOT_ALLOWED,
     UNKNOWN_SERVICE,
     ZONE_OUT,
     Ran,
+    Refusal,
 )
 
 pytestmark = pytest.mark.looptime
@@ -69,7 +73,9 @@
 async def test_leaving_target_gets_no_new_work(world, role):
     """Guards against new work at a leaving target after 2 s, and against refusals meanwhile."""
     session = await world.login()
-    leaving = world.primary if role == "primary" else world.replicas[0]
+    await world.run(session, "SELECT 1")
+    leaving = world.primary if role == "primary" else world.site.sent[-1].target
+    assert (leaving == world.primary) is (role == "primary")
     await _patch(world, (["services", SERVICE, "targets", leaving, "state"], "leaving"))
     left_s = now_s()
     for number in range(30):
@@ -81,6 +87,24 @@
     assert len(world.names()) == 30
 
 
+@with_world
+async def test_leaving_primary_without_a_switch_takes_writes_for_the_grace_time_only(world):
+    """Guards against refusals before the planned switch, and against work after 2 s without one."""
+
+    async def refuse(_preferred):
+        return Failure(Refusal(NO_PRIMARY, "no preferred target is reachable"))
+
+    for host in HOSTS:
+        world.parts(host).group.switch_primary = refuse
+    session, old = await world.login(), world.primary
+    await _patch(world, (["services", SERVICE, "targets", old, "state"], "leaving"))
+    (await world.run(session, insert("a"))).unwrap()
+    await sleep_s(1.9)
+    code = refused_with(await world.run(session, insert("b")))
+    assert code is DEADLINE_PASSED and code.ran is Ran.NO
+    assert world.primary == old and world.names() == ["a"]
+
+
 @with_world
 async def test_withdrawn_grants_end_sessions_with_their_reason(world):
     """Guards against sessions that outlive their key, their customer's grant or their service."""
--- a/tests/gateway/test_transactions.py
+++ b/tests/gateway/test_transactions.py
@@ -262,13 +262,12 @@
 
 @with_world
 async def test_ddl_inside_a_transaction_commits_it_first(world):
-    """Guards against DDL that runs on another connection and waits for the open transaction."""
+    """Guards against DDL that commits a transaction without a record or confirmation."""
     session = await world.login()
-    await world.run_all(
-        session, "BEGIN", insert("a"), "CREATE TABLE extra (id INT PRIMARY KEY)", "ROLLBACK"
-    )
+    await world.run_all(session, "BEGIN", insert("a"), "CREATE TABLE extra (id INT PRIMARY KEY)")
+    assert not session.is_in_transaction and session.token is not None
+    await world.run_all(session, "ROLLBACK")
     assert world.names() == ["a"]
-    assert not session.is_in_transaction
     await world.assert_idle()
 
 
--- a/tests/gateway/test_writes.py
+++ b/tests/gateway/test_writes.py
@@ -257,6 +257,25 @@
     assert "b" in world.names()
 
 
+@with_world
+@pytest.mark.parametrize("is_cancelled", [False, True])
+async def test_write_held_at_the_gate_with_its_slot(world, is_cancelled):
+    """Guards against a slot and connection that leak when a hold starts while connecting."""
+    session = await world.login()
+    write = asyncio.create_task(world.run(session, insert("a")))
+    await sleep_s(0.005)
+    world.gate().hold(world.parts().tracker.term, 1.0)
+    await sleep_s(0.05)
+    assert not write.done() and world.parts().scheduler._running
+    if is_cancelled:
+        write.cancel()
+        await asyncio.gather(write, return_exceptions=True)
+    else:
+        (await write).unwrap()
+    await world.assert_idle()
+    assert world.names() == ([] if is_cancelled else ["a"])
+
+
 @with_world
 async def test_unrecorded_ddl_with_a_lost_answer_is_unknown(world):
     """Guards against a repeated DDL statement and against "not run" for one that ran."""
