--- a/tests/gateway/test_reads.py
+++ b/tests/gateway/test_reads.py
@@ -6,8 +6,9 @@
 from gateway.gateway_world import SERVICE, cancel_after, insert, refused_with, with_world
 
 from pistachiowinch.base.clock import now_s, sleep_s
-from pistachiowinch.base.codes import BAD_TOKEN, Refusal
+from pistachiowinch.base.codes import BAD_TOKEN, NO_COVERING_TARGET, TRANSACTION_ABORTED, Refusal
 from pistachiowinch.base.tokens import SessionToken, encode_token
+from pistachiowinch.groups.confirmation import Unconfirmed
 
 pytestmark = pytest.mark.looptime
 
@@ -222,6 +223,21 @@
         assert world.parts().tracker.term > 1
 
 
+@with_world
+async def test_doubtful_session_gets_nothing_without_a_confirmation(world, monkeypatch):
+    """Guards against an answer of a target that no majority confirms as the primary."""
+    session = await world.login("host-1", "counter-7")
+
+    async def confirm(*_arguments):
+        return Unconfirmed("1 target answered")
+
+    monkeypatch.setattr(world.parts().confirmer, "confirm", confirm)
+    assert refused_with(await world.run(session, SELECT)) is NO_COVERING_TARGET
+    assert refused_with(await world.run(session, "BEGIN")) is TRANSACTION_ABORTED
+    assert not session.is_in_transaction
+    await world.assert_idle()
+
+
 @with_world
 async def test_interrupted_question_for_a_name_is_asked_again(world):
     """Guards against a stale read after a first statement that was cancelled."""
