Spend a rate token that is there at once without a coroutine

Cause: each statement awaited RateEscrow.acquire and built and matched a result, also when the token was there, and compared its bucket with those of all peers. Change: RateEscrow.try_acquire spends a token synchronously; the gateway awaits acquire, and then checks the session again, only when that fails. A part that lacks less than the tolerated amount needs no comparison with the peers, because these are at most full.

--- a/libs/gateway/src/pistachiowinch/gateway/gateway.py
+++ b/libs/gateway/src/pistachiowinch/gateway/gateway.py
@@ -240,15 +240,12 @@
         if isinstance(checked, Failure):
             await self._transactions.abandon(session, parts)
             return checked
-        if statement.kind not in (StatementKind.COMMIT, StatementKind.ROLLBACK):
-            match await self._rates.acquire(session.customer, deadline_s):
-                case Failure(refusal):
-                    return Failure(refusal)
-            # The wait for a rate token may have been long enough for a change of configuration.
-            checked = self.admission.check_running_work(session)
-            if isinstance(checked, Failure):
-                await self._transactions.abandon(session, parts)
-                return checked
+        needs_token = statement.kind not in (StatementKind.COMMIT, StatementKind.ROLLBACK)
+        # The checks after a wait for a token are needed only when none is there at once.
+        if needs_token and not self._rates.try_acquire(session.customer):
+            waited = await self._wait_for_rate(session, parts, deadline_s)
+            if not isinstance(waited, Success):
+                return waited
         if session.name != session.resolved_name:
             await self._resolve_name(session)
         result = await self._route(session, statement, parts, deadline_s)
@@ -257,6 +254,18 @@
             self._names.remember(session)
         return result
 
+    async def _wait_for_rate(
+        self, session: Session, parts: ServiceParts, deadline_s: float
+    ) -> Result[None, Refusal]:
+        acquired = await self._rates.acquire(session.customer, deadline_s)
+        if not isinstance(acquired, Success):
+            return acquired
+        # The wait for a rate token may have been long enough for a change of configuration.
+        checked = self.admission.check_running_work(session)
+        if not isinstance(checked, Success):
+            await self._transactions.abandon(session, parts)
+        return checked
+
     async def _resolve_name(self, session: Session) -> None:
         """Find the writes that a session of this name made elsewhere."""
         session.resolved_name = session.name
--- a/libs/gateway/src/pistachiowinch/gateway/interfaces.py
+++ b/libs/gateway/src/pistachiowinch/gateway/interfaces.py
@@ -65,6 +65,9 @@
 class LimitsRates(Protocol):
     """Holds customers to their rates over all hosts."""
 
+    def try_acquire(self, customer: str) -> bool:
+        """Take one token that is there at once."""
+
     async def acquire(self, customer: str, deadline_s: float) -> Result[None, Refusal]:
         """Take one token, waiting for a borrow round at most."""
 
--- a/libs/limits/src/pistachiowinch/limits/rates.py
+++ b/libs/limits/src/pistachiowinch/limits/rates.py
@@ -243,6 +243,25 @@
         """
         self._peers = tuple(peer for peer in peers if peer != self._host)
 
+    def try_acquire(self, customer: str) -> bool:
+        """Spend one token of a customer that is there at once, without a coroutine.
+
+        :param customer: the customer's name.
+        :returns: whether a token was spent; otherwise :meth:`acquire` decides about the request.
+        """
+        state = self._customers.get(customer)
+        if state is None or state.is_removed:
+            return False
+        arrived_s = now_s()
+        self._check_pause(arrived_s)
+        state.prune()
+        if state.waiters or not state.bucket.try_take(arrived_s):
+            return False
+        # A failed attempt is followed by acquire, which would count the request a second time.
+        state.demand.add(arrived_s)
+        self._refill(state, arrived_s)
+        return True
+
     async def acquire(self, customer: str, deadline_s: float) -> Result[None, Refusal]:
         """Spend one token of a customer.
 
@@ -250,16 +269,13 @@
         :param deadline_s: loop time after which the request is of no use.
         :returns: nothing, or ``RATE_EXCEEDED``.
         """
+        if self.try_acquire(customer):
+            return Success(None)
         state = self._customers.get(customer)
         if state is None or state.is_removed:
             return self._refuse("the customer has no rate")
         arrived_s = now_s()
-        self._check_pause(arrived_s)
         state.demand.add(arrived_s)
-        state.prune()
-        if not state.waiters and state.bucket.try_take(arrived_s):
-            self._refill(state, arrived_s)
-            return Success(None)
         if len(state.waiters) >= self._most_waiters(state):
             return self._refuse("too many requests already wait for the rate")
         return await self._wait(state, min(arrived_s + WAIT_S, deadline_s))
@@ -371,8 +387,13 @@
             self._start_rounds(state)
 
     def _is_unbalanced(self, state: _Customer) -> bool:
-        missing = self._balanced_level(state, 0.0) - state.bucket.total
-        return missing > state.bucket.limit.rate_per_s * WAIT_S / 2
+        bucket = state.bucket
+        tolerated = bucket.limit.rate_per_s * WAIT_S / 2
+        held = bucket.total
+        # Peers are at most full, so a nearly full part needs no look at each of them.
+        if bucket.capacity - held <= tolerated:
+            return False
+        return self._balanced_level(state, 0.0) - held > tolerated
 
     def _balanced_level(self, state: _Customer, need: float) -> float:
         """Own tokens if all hosts were equally full after ``need`` tokens were spent here.
