Take an idle connection without a coroutine and a result

Cause: each read awaited ConnectionPool.acquire for a connection that was idle, and mapped its result with a lambda. Change: ConnectionPool.try_acquire takes an idle connection synchronously, with the same checks of deadline, draining and idle limit and one reading of the clock; RunContext awaits acquire only when it returns none.

--- a/libs/gateway/src/pistachiowinch/gateway/interfaces.py
+++ b/libs/gateway/src/pistachiowinch/gateway/interfaces.py
@@ -134,6 +134,9 @@
 class PoolsConnections(Protocol):
     """Connections of this host to one target."""
 
+    def try_acquire(self, deadline_s: float) -> TargetConnection | None:
+        """Take an idle connection at once, if there is one."""
+
     async def acquire(self, deadline_s: float) -> Result[TargetConnection, Refusal]:
         """Take a connection that carries no exchange and no state."""
 
--- a/libs/gateway/src/pistachiowinch/gateway/work.py
+++ b/libs/gateway/src/pistachiowinch/gateway/work.py
@@ -255,12 +255,17 @@
         self, parts: ServiceParts, grant: SlotGrant, deadline_s: float
     ) -> Result[Borrowed, Refusal]:
         term = parts.tracker.term
-        is_connected = False
+        connection = None
         try:
             pool = parts.pools[grant.target]
-            connected = await pool.acquire(deadline_s)
-            is_connected = isinstance(connected, Success)
+            # An idle connection is the usual case and needs neither a coroutine nor a result.
+            connection = pool.try_acquire(deadline_s)
+            if connection is None:
+                acquired = await pool.acquire(deadline_s)
+                if not isinstance(acquired, Success):
+                    return acquired
+                connection = acquired.unwrap()
         finally:
-            if not is_connected:
+            if connection is None:
                 parts.scheduler.release(grant)
-        return connected.map(lambda connection: Borrowed(parts, grant, pool, connection, term))
+        return Success(Borrowed(parts, grant, pool, connection, term))
--- a/libs/targets/src/pistachiowinch/targets/pool.py
+++ b/libs/targets/src/pistachiowinch/targets/pool.py
@@ -99,6 +99,17 @@
         """Whether a statement can be sent without opening a connection."""
         return any(connection.is_usable for connection, _ in self._idle)
 
+    def try_acquire(self, deadline_s: float) -> TargetConnection | None:
+        """Take an idle connection at once, without a coroutine.
+
+        :param deadline_s: loop time after which the statement must not be sent.
+        :returns: the connection, or None; then :meth:`acquire` waits, opens one or refuses.
+        """
+        at_s = now_s()
+        if self._is_draining or deadline_s <= at_s:
+            return None
+        return self._take_idle(at_s)
+
     async def acquire(self, deadline_s: float) -> Result[TargetConnection, Refusal]:
         """Take a connection, opening one if none is idle and the limit allows.
 
@@ -110,10 +121,9 @@
         if deadline_s <= now_s():
             return Failure(Refusal(DEADLINE_PASSED, detail))
         # The usual case needs no timeout, which costs as much as the rest of this method.
-        if self._idle and not self._is_draining:
-            connection = self._take_idle()
-            if connection is not None:
-                return Success(connection)
+        connection = self.try_acquire(deadline_s)
+        if connection is not None:
+            return Success(connection)
         try:
             async with asyncio.timeout_at(deadline_s):
                 return await self._acquire()
@@ -122,7 +132,7 @@
 
     async def _acquire(self) -> Result[TargetConnection, Refusal]:
         while not self._is_draining:
-            connection = self._take_idle()
+            connection = self._take_idle(now_s())
             if connection is not None:
                 return Success(connection)
             if self.open_count < self._limit:
@@ -134,8 +144,8 @@
         detail = f"target {self.target} is being taken out of use"
         return Failure(Refusal(TARGET_UNREACHABLE, detail))
 
-    def _take_idle(self) -> TargetConnection | None:
-        self.close_expired()
+    def _take_idle(self, at_s: float) -> TargetConnection | None:
+        self._close_idle_since(at_s - self._idle_limit_s)
         while self._idle:
             connection, _ = self._idle.pop()
             if connection.is_usable:
@@ -232,7 +242,9 @@
 
     def close_expired(self) -> None:
         """Close connections that were idle for too long. Called at each acquire as well."""
-        oldest_allowed_s = now_s() - self._idle_limit_s
+        self._close_idle_since(now_s() - self._idle_limit_s)
+
+    def _close_idle_since(self, oldest_allowed_s: float) -> None:
         while self._idle and self._idle[0][1] < oldest_allowed_s:
             connection, _ = self._idle.popleft()
             self._close(connection, CloseReason.IDLE)
