--- a/libs/gateway/src/pistachiowinch/gateway/interfaces.py
+++ b/libs/gateway/src/pistachiowinch/gateway/interfaces.py
@@ -65,6 +65,9 @@
 class LimitsRates(Protocol):
     """Holds customers to their rates over all hosts."""
 
+    def try_acquire(self, customer: str) -> bool:
+        """Take one token that is there at once."""
+
     async def acquire(self, customer: str, deadline_s: float) -> Result[None, Refusal]:
         """Take one token, waiting for a borrow round at most."""
 
@@ -134,6 +137,9 @@
 class PoolsConnections(Protocol):
     """Connections of this host to one target."""
 
+    def try_acquire(self, deadline_s: float) -> TargetConnection | None:
+        """Take an idle connection at once, if there is one."""
+
     async def acquire(self, deadline_s: float) -> Result[TargetConnection, Refusal]:
         """Take a connection that carries no exchange and no state."""
 
