Return stored answers on connections with state; keep the gate from spinning

Cause: reported by the gateway's tests: a repeated INSERT with a request id on a connection with SET state got error 1062, and the gate looped without progress when a timer fired a rounding error before its deadline. Change: the search for a stored answer moves to OutcomeResolver and serves both paths; the gate does not wait for less than a microsecond.

--- a/libs/gateway/src/pistachiowinch/gateway/gateway.py
+++ b/libs/gateway/src/pistachiowinch/gateway/gateway.py
@@ -37,6 +37,7 @@
 from pistachiowinch.gateway.transactions import TransactionPath
 from pistachiowinch.gateway.work import RunContext, TargetUse
 from pistachiowinch.gateway.writes import WritePath
+from pistachiowinch.groups.ledger import LedgerEntry, statement_digest
 from pistachiowinch.links.targets import Answer, Failed
 from pistachiowinch.routing.session import Session
 from pistachiowinch.routing.statements import Statement, StatementKind
@@ -97,7 +98,7 @@
         context = self._context = RunContext(
             services, configuration, self._use, retries, metrics, self._settings
         )
-        outcomes = OutcomeResolver(context)
+        outcomes = self._outcomes = OutcomeResolver(context)
         self._reads = ReadPath(context)
         self._writes = WritePath(context, outcomes)
         self._transactions = TransactionPath(context, outcomes)
@@ -346,11 +347,19 @@
         begun = await self._transactions.begin(session, begin, parts, deadline_s)
         if not isinstance(begun, Success):
             return begun
+        target, term = session.pinned.target, session.pinned.term
         written = await self._transactions.run(session, statement, parts, deadline_s)
         if not isinstance(written, Success):
             if session.is_in_transaction:
                 await self._transactions.roll_back(session, parts, deadline_s)
-            return written
+            failed = written.failure()
+            if statement.request_id is None or not isinstance(failed, Failed):
+                return written
+            digest = statement_digest(statement.text)
+            entry = LedgerEntry(session.customer, statement.request_id, digest)
+            return await self._outcomes.stored_or(
+                session, parts, target, term, entry, failed, deadline_s
+            )
         committed = await self._transactions.commit(
             session, statement, parts, is_recorded, deadline_s
         )
--- a/libs/gateway/src/pistachiowinch/gateway/outcomes.py
+++ b/libs/gateway/src/pistachiowinch/gateway/outcomes.py
@@ -11,10 +11,26 @@
 from pistachiowinch.gateway.work import RunContext
 from pistachiowinch.groups.confirmation import Confirmed, Replaced, Unconfirmed
 from pistachiowinch.groups.ledger import LedgerEntry, NotRan, RanBefore, Undecided
-from pistachiowinch.links.targets import Answer
+from pistachiowinch.links.targets import Answer, Failed
 from pistachiowinch.routing.session import Session
 
-__all__ = ["DidNotRun", "OutcomeResolver"]
+__all__ = ["DidNotRun", "OutcomeResolver", "next_entry"]
+
+
+# Callers' request ids cannot contain control characters, so derived names never collide with one.
+_ATTEMPT_SEPARATOR = "\x1f"
+
+
+def next_entry(entry: LedgerEntry) -> LedgerEntry:
+    """Derive the entry of the attempt that follows a cancelled one.
+
+    Every host derives the same names, so a request id still takes effect at most once: an
+    attempt starts only after all earlier entries are finally cancelled.
+
+    :param entry: the cancelled entry.
+    """
+    base, _, number = entry.request_id.partition(_ATTEMPT_SEPARATOR)
+    return entry._replace(request_id=f"{base}{_ATTEMPT_SEPARATOR}{int(number or 0) + 1}")
 
 
 class DidNotRun(NamedTuple):
@@ -116,6 +132,38 @@
         # An entry that was sent nowhere, in no term, needs no cancellation.
         return await self.decide(session, parts, "", 0, entry, deadline_s)
 
+    async def stored_or(
+        self,
+        session: Session,
+        parts: ServiceParts,
+        target: str,
+        term: int,
+        entry: LedgerEntry,
+        failed: Failed,
+        deadline_s: float,
+    ) -> Result[Answer, Refusal | Failed]:
+        """Prefer the stored answer of an earlier attempt to an error of this one.
+
+        A repeated INSERT fails on the row that its first attempt inserted, possibly under a
+        derived entry. If there was no earlier attempt, the decision leaves a cancelled entry and
+        the error stands.
+
+        :param target: the target that refused this attempt.
+        :param term: its term before the attempt.
+        :param entry: the write's ledger entry.
+        :param failed: the error of this attempt, which was rolled back.
+        :param deadline_s: loop time at which the outcome is reported as unknown.
+        """
+        while True:
+            found = await self.look_up(session, parts, entry, deadline_s)
+            if not isinstance(found, DidNotRun):
+                return found
+            if not found.is_id_used:
+                break
+            entry = next_entry(entry)
+        found = await self.decide(session, parts, target, term, entry, deadline_s)
+        return Failure(failed) if isinstance(found, DidNotRun) else found
+
     def _record(self, session: Session, token: SessionToken) -> None:
         session.advance_token(token)
         session.is_token_doubtful = False
--- a/libs/gateway/src/pistachiowinch/gateway/transactions.py
+++ b/libs/gateway/src/pistachiowinch/gateway/transactions.py
@@ -6,9 +6,9 @@
 from pistachiowinch.base.codes import DEADLINE_PASSED, OUTCOME_UNKNOWN, TRANSACTION_ABORTED, Refusal
 from pistachiowinch.gateway.exchange import exchange, is_read_only_error
 from pistachiowinch.gateway.interfaces import ServiceParts
-from pistachiowinch.gateway.outcomes import DidNotRun, OutcomeResolver
+from pistachiowinch.gateway.outcomes import DidNotRun, OutcomeResolver, next_entry
 from pistachiowinch.gateway.work import Borrowed, RunContext
-from pistachiowinch.gateway.writes import DUPLICATE_KEY_ERRNO, new_request_id, next_entry
+from pistachiowinch.gateway.writes import DUPLICATE_KEY_ERRNO, new_request_id
 from pistachiowinch.groups.confirmation import Confirmed
 from pistachiowinch.groups.ledger import LedgerEntry, statement_digest
 from pistachiowinch.limits.scheduler import SlotGrant, SlotRequest
--- a/libs/gateway/src/pistachiowinch/gateway/writes.py
+++ b/libs/gateway/src/pistachiowinch/gateway/writes.py
@@ -10,19 +10,17 @@
 from pistachiowinch.base.codes import INTERRUPTED_NOT_RUN, OUTCOME_UNKNOWN, Refusal
 from pistachiowinch.gateway.exchange import exchange, is_read_only_error
 from pistachiowinch.gateway.interfaces import ServiceParts
-from pistachiowinch.gateway.outcomes import DidNotRun, OutcomeResolver
+from pistachiowinch.gateway.outcomes import DidNotRun, OutcomeResolver, next_entry
 from pistachiowinch.gateway.work import Borrowed, RunContext
 from pistachiowinch.groups.ledger import LedgerEntry, statement_digest
 from pistachiowinch.links.targets import Answer, Answered, ExecuteOutcome, Failed, Lost
 from pistachiowinch.routing.session import Session
 from pistachiowinch.routing.statements import Statement, StatementKind
 
-__all__ = ["DUPLICATE_KEY_ERRNO", "WritePath", "new_request_id", "next_entry"]
+__all__ = ["DUPLICATE_KEY_ERRNO", "WritePath", "new_request_id"]
 
 DUPLICATE_KEY_ERRNO = 1062
 _NO_TABLE_ERRNO = 1146
-# Callers' request ids cannot contain control characters, so derived names never collide with one.
-_ATTEMPT_SEPARATOR = "\x1f"
 
 
 class _Step(enum.Enum):
@@ -71,18 +69,6 @@
     return f"pw-{uuid.uuid4().hex}"
 
 
-def next_entry(entry: LedgerEntry) -> LedgerEntry:
-    """Derive the entry of the attempt that follows a cancelled one.
-
-    Every host derives the same names, so a request id still takes effect at most once: an
-    attempt starts only after all earlier entries are finally cancelled.
-
-    :param entry: the cancelled entry.
-    """
-    base, _, number = entry.request_id.partition(_ATTEMPT_SEPARATOR)
-    return entry._replace(request_id=f"{base}{_ATTEMPT_SEPARATOR}{int(number or 0) + 1}")
-
-
 def _interrupted() -> Failure[Refusal]:
     return Failure(Refusal(INTERRUPTED_NOT_RUN, "the target was lost during the write"))
 
@@ -243,7 +229,9 @@
             case _Refused(failed):
                 if entry is None or statement.request_id is None:
                     return Failure(failed)
-                return await self._stored_or(session, held, entry, failed, deadline_s)
+                return await self._outcomes.stored_or(
+                    session, parts, target, term, entry, failed, deadline_s
+                )
             case _ReadOnly():
                 # The retry has to wait for the new primary instead of using this target again.
                 await parts.tracker.refresh([target])
@@ -259,28 +247,3 @@
                 if statement.is_idempotent:
                     return DidNotRun()
                 return Failure(Refusal(OUTCOME_UNKNOWN, reason))
-
-    async def _stored_or(
-        self,
-        session: Session,
-        held: Borrowed,
-        entry: LedgerEntry,
-        failed: Failed,
-        deadline_s: float,
-    ) -> Result[Answer, Refusal | Failed]:
-        """Prefer the stored answer of an earlier attempt to an error of this one.
-
-        A repeated INSERT fails on the row that its first attempt inserted, possibly under a
-        derived entry. If there was no earlier attempt, the decision leaves a cancelled entry and
-        the error stands.
-        """
-        parts, target, term = held.parts, held.grant.target, held.term
-        while True:
-            found = await self._outcomes.look_up(session, parts, entry, deadline_s)
-            if not isinstance(found, DidNotRun):
-                return found
-            if not found.is_id_used:
-                break
-            entry = next_entry(entry)
-        found = await self._outcomes.decide(session, parts, target, term, entry, deadline_s)
-        return Failure(failed) if isinstance(found, DidNotRun) else found
--- a/libs/groups/src/pistachiowinch/groups/gate.py
+++ b/libs/groups/src/pistachiowinch/groups/gate.py
@@ -9,6 +9,9 @@
 # A planned switch holds new transactions at most this long.
 HOLD_LIMIT_S = 1.0
 
+# A timer may fire this much early; a shorter rest of time is not waited for again.
+_TIMER_RESOLUTION_S = 1e-6
+
 
 class TransactionGate:
     """Counts this host's transactions on the primary and delays new ones while held."""
@@ -28,7 +31,7 @@
     @property
     def is_held(self) -> bool:
         """Whether new transactions have to wait."""
-        return now_s() < self._held_until_s
+        return now_s() < self._held_until_s - _TIMER_RESOLUTION_S
 
     def _notify(self) -> None:
         self._changed.set()
@@ -48,7 +51,7 @@
         :returns: false if the deadline passed first; then :meth:`leave` must not be called.
         """
         while self.is_held:
-            if now_s() >= deadline_s:
+            if now_s() >= deadline_s - _TIMER_RESOLUTION_S:
                 return False
             await self._wait(min(deadline_s, self._held_until_s))
         self._running += 1
@@ -93,6 +96,6 @@
         :param deadline_s: loop time.
         :returns: transactions that still run.
         """
-        while self._running and now_s() < deadline_s:
+        while self._running and now_s() < deadline_s - _TIMER_RESOLUTION_S:
             await self._wait(deadline_s)
         return self._running
--- a/tests/gateway/test_transactions.py
+++ b/tests/gateway/test_transactions.py
@@ -327,3 +327,13 @@
     assert now_s() - started_s < 1.5
     await world.assert_idle()
     assert world.names() == []
+
+
+@with_world
+async def test_repeated_insert_on_a_connection_with_state_returns_the_stored_answer(world):
+    """Guards against error 1062 for a repeated request of a session that has used SET."""
+    first, second = await world.login(), await world.login()
+    (await world.run(first, insert("a"), request_id="r1")).unwrap()
+    (await world.run(second, "SET SESSION sort_buffer_size = 1")).unwrap()
+    assert (await world.run(second, insert("a"), request_id="r1")).unwrap().affected_rows == 1
+    assert world.names() == ["a"]
--- a/tests/groups/test_gate.py
+++ b/tests/groups/test_gate.py
@@ -1,6 +1,7 @@
 """Guards against transactions that start during a switch, and against holds that never end."""
 
 import asyncio
+import math
 
 import pytest
 
@@ -45,3 +46,13 @@
     assert await waiting == 0
     with pytest.raises(RuntimeError):
         gate.leave()
+
+
+async def test_a_deadline_a_float_step_ahead_does_not_spin():
+    """Guards against a loop without progress when a timer fires a rounding error early."""
+    gate = TransactionGate()
+    await sleep_s(3.6752)
+    assert await gate.enter(now_s() + 1.0)
+    assert await gate.wait_idle(math.nextafter(now_s(), math.inf)) == 1
+    gate.hold(1, math.ulp(now_s()))
+    assert await gate.enter(now_s() + 1.0)
