Bound exchanges by one shared timer

Cause: asyncio.timeout set and cancelled a timer for each exchange. Change: Exchanges in the RunContext keeps the running exchanges and one timer, which is moved only to an earlier limit or after it fired. A timeout, a cancelled caller and the closing of idle connections behave as before.

--- a/libs/gateway/src/pistachiowinch/gateway/exchange.py
+++ b/libs/gateway/src/pistachiowinch/gateway/exchange.py
@@ -1,33 +1,107 @@
-"""One exchange with a target, bounded in time."""
+"""Exchanges with targets, bounded in time."""
 
 import asyncio
 
 from pistachiowinch.gateway.interfaces import PoolsConnections
 from pistachiowinch.links.targets import ExecuteOutcome, Lost, TargetConnection
 
-__all__ = ["exchange"]
+__all__ = ["Exchanges"]
 
 
-async def exchange(
-    pool: PoolsConnections | None, connection: TargetConnection, text: str, timeout_s: float
-) -> ExecuteOutcome:
-    """Run one statement and treat silence as a lost answer.
+class _Running:
+    """One exchange under way.
 
-    After a timeout the connection is unusable, so a late answer can reach nobody. What silenced
-    one connection may have silenced the idle ones to the same target, so they are closed too.
+    :param task: the task that waits for the answer.
+    :param deadline_s: loop time at which the answer counts as lost.
+    """
+
+    __slots__ = ("cancelling", "deadline_s", "is_expired", "task")
+
+    def __init__(self, task: "asyncio.Task[object]", deadline_s: float) -> None:
+        self.task = task
+        self.deadline_s = deadline_s
+        self.cancelling = task.cancelling()
+        self.is_expired = False
+
+    def expire(self) -> None:
+        self.is_expired = True
+        self.task.cancel()
+
+    def end(self) -> bool:
+        """Take an expiry's cancellation back; tell whether the task was cancelled only by it."""
+        return self.is_expired and self.task.uncancel() <= self.cancelling
+
+
+class Exchanges:
+    """Runs exchanges and treats silence as a lost answer.
 
-    :param pool: the connection's pool; None if its target has been removed.
-    :param connection: a usable connection.
-    :param text: the SQL text.
-    :param timeout_s: seconds until the answer counts as lost.
-    :returns: the target's answer or error, or :class:`Lost`.
+    One timer serves all exchanges. It stays set when an exchange ends, because a timer for each
+    exchange costs several microseconds and nearly none of them would ever fire.
     """
-    if not connection.is_usable:
-        return Lost(is_sent=False, reason="connection was already closed")
-    try:
-        async with asyncio.timeout(timeout_s):
-            return await connection.execute(text)
-    except TimeoutError:
+
+    def __init__(self) -> None:
+        """Start without exchanges."""
+        self._running: set[_Running] = set()
+        self._timer: asyncio.TimerHandle | None = None
+
+    async def run(
+        self,
+        pool: PoolsConnections | None,
+        connection: TargetConnection,
+        text: str,
+        timeout_s: float,
+    ) -> ExecuteOutcome:
+        """Run one statement.
+
+        After a timeout the connection is unusable, so a late answer can reach nobody. What silenced
+        one connection may have silenced the idle ones to the same target, so they are closed too.
+
+        :param pool: the connection's pool; None if its target has been removed.
+        :param connection: a usable connection.
+        :param text: the SQL text.
+        :param timeout_s: seconds until the answer counts as lost.
+        :returns: the target's answer or error, or :class:`Lost`.
+        """
+        if not connection.is_usable:
+            return Lost(is_sent=False, reason="connection was already closed")
+        running = self._start(timeout_s)
+        is_timeout = False
+        try:
+            try:
+                return await connection.execute(text)
+            finally:
+                self._running.discard(running)
+                is_timeout = running.end()
+        except asyncio.CancelledError:
+            if not is_timeout:
+                raise
         if pool is not None:
             pool.close_idle()
         return Lost(is_sent=True, reason=f"no answer for {timeout_s:g} s")
+
+    def _start(self, timeout_s: float) -> _Running:
+        loop = asyncio.get_running_loop()
+        running = _Running(asyncio.current_task(loop), loop.time() + timeout_s)
+        self._running.add(running)
+        self._ensure_timer(loop, running.deadline_s)
+        return running
+
+    def _ensure_timer(self, loop: asyncio.AbstractEventLoop, at_s: float) -> None:
+        timer = self._timer
+        if timer is not None:
+            if timer.when() <= at_s:
+                return
+            timer.cancel()
+        self._timer = loop.call_at(at_s, self._expire, loop, at_s)
+
+    def _expire(self, loop: asyncio.AbstractEventLoop, at_s: float) -> None:
+        self._timer = None
+        # The loop runs a timer up to one clock resolution early.
+        reached_s = max(at_s, loop.time())
+        pending = [running for running in self._running if not running.is_expired]
+        for running in pending:
+            if running.deadline_s <= reached_s:
+                running.expire()
+        left_s = [running.deadline_s for running in pending if not running.is_expired]
+        if left_s:
+            self._ensure_timer(loop, min(left_s))
--- a/libs/gateway/src/pistachiowinch/gateway/reads.py
+++ b/libs/gateway/src/pistachiowinch/gateway/reads.py
@@ -12,7 +12,6 @@
     READ_INTERRUPTED,
     Refusal,
 )
-from pistachiowinch.gateway.exchange import exchange
 from pistachiowinch.gateway.interfaces import ServiceParts
 from pistachiowinch.gateway.work import Borrowed, RunContext
 from pistachiowinch.groups.confirmation import Confirmed
@@ -183,7 +182,9 @@
         is_clean = False
         try:
             timeout_s = min(self._context.settings.exchange_timeout_s, deadline_s - now_s())
-            outcome = await exchange(held.pool, held.connection, statement.text, timeout_s)
+            outcome = await self._context.exchanges.run(
+                held.pool, held.connection, statement.text, timeout_s
+            )
             is_clean = not isinstance(outcome, Lost)
             return outcome
         finally:
--- a/libs/gateway/src/pistachiowinch/gateway/transactions.py
+++ b/libs/gateway/src/pistachiowinch/gateway/transactions.py
@@ -4,7 +4,6 @@
 
 from pistachiowinch.base.clock import now_s
 from pistachiowinch.base.codes import DEADLINE_PASSED, OUTCOME_UNKNOWN, TRANSACTION_ABORTED, Refusal
-from pistachiowinch.gateway.exchange import exchange
 from pistachiowinch.gateway.interfaces import ServiceParts
 from pistachiowinch.gateway.outcomes import DidNotRun, OutcomeResolver
 from pistachiowinch.gateway.work import Borrowed, RunContext
@@ -230,7 +229,7 @@
     ) -> ExecuteOutcome:
         timeout_s = min(self._context.settings.exchange_timeout_s, deadline_s - now_s())
         pool = parts.pools.get(pinned.target)
-        return await exchange(pool, pinned.connection, text, timeout_s)
+        return await self._context.exchanges.run(pool, pinned.connection, text, timeout_s)
 
     async def _acquire_slot(
         self, session: Session, parts: ServiceParts, deadline_s: float
--- a/libs/gateway/src/pistachiowinch/gateway/work.py
+++ b/libs/gateway/src/pistachiowinch/gateway/work.py
@@ -11,6 +11,7 @@
 from pistachiowinch.base.codes import DEADLINE_PASSED, NO_PRIMARY, Refusal
 from pistachiowinch.base.metrics import Metrics
 from pistachiowinch.configuration.document import Configuration
+from pistachiowinch.gateway.exchange import Exchanges
 from pistachiowinch.gateway.interfaces import (
     LimitsRetries,
     PoolsConnections,
@@ -127,6 +128,7 @@
         self.retries = retries
         self.metrics = metrics
         self.settings = settings
+        self.exchanges = Exchanges()
         self._configuration = configuration
         self._routes: dict[str, Counter] = {}
 
--- a/libs/gateway/src/pistachiowinch/gateway/writes.py
+++ b/libs/gateway/src/pistachiowinch/gateway/writes.py
@@ -8,7 +8,6 @@
 
 from pistachiowinch.base.clock import now_s
 from pistachiowinch.base.codes import INTERRUPTED_NOT_RUN, OUTCOME_UNKNOWN, Refusal
-from pistachiowinch.gateway.exchange import exchange
 from pistachiowinch.gateway.interfaces import ServiceParts
 from pistachiowinch.gateway.outcomes import DidNotRun, OutcomeResolver
 from pistachiowinch.gateway.work import Borrowed, RunContext
@@ -156,7 +155,7 @@
     async def _exchange(self, held: Borrowed, text: str, deadline_s: float) -> ExecuteOutcome:
         remaining_s = deadline_s - now_s()
         timeout_s = min(self._context.settings.exchange_timeout_s, remaining_s)
-        return await exchange(held.pool, held.connection, text, timeout_s)
+        return await self._context.exchanges.run(held.pool, held.connection, text, timeout_s)
 
     async def _run_bare(self, held: Borrowed, statement: Statement, deadline_s: float) -> _Attempt:
         match await self._exchange(held, statement.text, deadline_s):
