Run plain reads before the checks of writes and transactions

Cause: each read looked up whether its service records writes and passed through four match arms, and results were checked with isinstance for the class that they seldom are. returns gives its classes an ABCMeta, so that such a check took 436 ns instead of 59 ns (timeit at load 16). Change: an unpinned, not locking read goes to the read path first; results on the path are checked for Success.

--- a/libs/gateway/src/pistachiowinch/gateway/gateway.py
+++ b/libs/gateway/src/pistachiowinch/gateway/gateway.py
@@ -41,6 +41,8 @@
 __all__ = ["Credentials", "Gateway", "StatementResult"]
 
 _STOP_POLL_S = 0.05
+# These take no rate token, so that an open transaction can always end.
+_TRANSACTION_ENDS = (StatementKind.COMMIT, StatementKind.ROLLBACK)
 
 _log = part_logger("gateway")
 
@@ -155,7 +157,8 @@
             session.is_busy = False
             if session.ended is not None:
                 await self._finish(session)
-        if isinstance(result, Failure) and isinstance(result.failure(), Refusal):
+        # A result is nearly always a success, and only a check for its own class is cheap.
+        if not isinstance(result, Success) and isinstance(result.failure(), Refusal):
             return self._refused(result.failure())
         return result
 
@@ -237,10 +240,10 @@
             checked = self.admission.check_running_work(session)
         else:
             checked = self.admission.check_new_work(session)
-        if isinstance(checked, Failure):
+        if not isinstance(checked, Success):
             await self._transactions.abandon(session, parts)
             return checked
-        needs_token = statement.kind not in (StatementKind.COMMIT, StatementKind.ROLLBACK)
+        needs_token = statement.kind not in _TRANSACTION_ENDS
         # The checks after a wait for a token are needed only when none is there at once.
         if needs_token and not self._rates.try_acquire(session.customer):
             waited = await self._wait_for_rate(session, parts, deadline_s)
@@ -275,6 +278,10 @@
     async def _route(
         self, session: Session, statement: Statement, parts: ServiceParts, deadline_s: float
     ) -> StatementResult:
+        is_plain_read = statement.kind is StatementKind.READ and not statement.is_locking_read
+        # The usual case comes before the checks that only writes and transactions need.
+        if is_plain_read and session.pinned is None:
+            return await self._reads.run(session, statement, parts, deadline_s)
         is_recorded = self._is_always_recorded(session.service)
         if session.is_in_transaction:
             return await self._run_in_transaction(
@@ -288,9 +295,7 @@
             case StatementKind.SESSION_STATE:
                 return await self._transactions.set_state(session, statement, parts, deadline_s)
             case StatementKind.READ if not statement.is_locking_read:
-                if session.pinned is not None:
-                    return await self._transactions.run(session, statement, parts, deadline_s)
-                return await self._reads.run(session, statement, parts, deadline_s)
+                return await self._transactions.run(session, statement, parts, deadline_s)
         if session.pinned is not None and statement.kind is not StatementKind.DDL:
             return await self._write_on_pin(session, statement, parts, is_recorded, deadline_s)
         self._context.count_statement("write")
--- a/libs/proxy/src/pistachiowinch/proxy/connection.py
+++ b/libs/proxy/src/pistachiowinch/proxy/connection.py
@@ -291,7 +291,8 @@
         return ok_packet(answer, self.runner.status)
 
     async def _send(self, outcome: Outcome, is_binary: bool = False) -> None:
-        if isinstance(outcome, Failure):
+        # Most outcomes are successes, and only a check for an object's own class is cheap.
+        if not isinstance(outcome, Success):
             self.stream.write_many((error_packet(outcome.failure()),))
             return
         answer = outcome.unwrap()
