Read the clock once in each step of the scheduler

Cause: a grant and a release of a slot read the clock five times; each reading costs three calls. Change: ServiceScheduler reads it once for each and hands the time to the permit pool. Nothing waits between the checks that share it.

--- a/libs/limits/src/pistachiowinch/limits/permit_pool.py
+++ b/libs/limits/src/pistachiowinch/limits/permit_pool.py
@@ -112,16 +112,16 @@
         return permit
 
     def take_idle(
-        self, may_use: Callable[[str], bool], targets: Collection[str]
+        self, may_use: Callable[[str], bool], targets: Collection[str], at_s: float
     ) -> HeldPermit | None:
         """Use the permit that was idle for longest out of those that a request may use.
 
         :param may_use: whether the request may run on a target.
         :param targets: targets that get requests.
+        :param at_s: loop time now.
         :returns: the permit, or None.
         """
-        self.expire()
-        at_s = now_s()
+        self._expire_at(at_s)
         found: HeldPermit | None = None
         for permit in self._permits.values():
             if permit.in_use or (found is not None and permit.used_s >= found.used_s):
@@ -134,10 +134,10 @@
             found.in_use = True
         return found
 
-    def put_back(self, permit: HeldPermit) -> None:
-        """End the use of a permit; one that expired meanwhile is simply gone."""
+    def put_back(self, permit: HeldPermit, at_s: float) -> None:
+        """End the use of a permit at a time; one that expired meanwhile is simply gone."""
         permit.in_use = False
-        permit.used_s = now_s()
+        permit.used_s = at_s
         if permit.is_orphan and permit in self._orphans:
             self._orphans.remove(permit)
         if self._fallback.get(permit.target) is permit:
@@ -205,7 +205,10 @@
 
     def expire(self) -> None:
         """Drop permits that were not renewed in time; the broker has lent them to others."""
-        if now_s() < self._expires_s or not self._permits:
+        self._expire_at(now_s())
+
+    def _expire_at(self, at_s: float) -> None:
+        if at_s < self._expires_s or not self._permits:
             return
         self._counters.permits("expired_while_held", len(self._permits))
         self._permits.clear()
--- a/libs/limits/src/pistachiowinch/limits/scheduler.py
+++ b/libs/limits/src/pistachiowinch/limits/scheduler.py
@@ -54,11 +54,11 @@
 
     __slots__ = ("customer", "permit", "started_s", "weight")
 
-    def __init__(self, customer: str, weight: float, permit: HeldPermit) -> None:
+    def __init__(self, customer: str, weight: float, permit: HeldPermit, started_s: float) -> None:
         self.customer = customer
         self.weight = weight
         self.permit = permit
-        self.started_s = now_s()
+        self.started_s = started_s
 
 
 class ServiceScheduler:
@@ -151,13 +151,15 @@
         """
         if not self._queue.is_empty:
             return None
-        permit = self._pool.take_idle(request.may_use, self._slots)
+        # One reading of the clock serves all checks, because nothing waits between them.
+        at_s = now_s()
+        permit = self._pool.take_idle(request.may_use, self._slots, at_s)
         if permit is None:
             return None
         self._queue.activate(request.customer)
         self._weights[request.customer] = request.weight
         number = next(self._numbers)
-        self._running[number] = _Running(request.customer, request.weight, permit)
+        self._running[number] = _Running(request.customer, request.weight, permit, at_s)
         self._queue.charge(request.customer, self._queue.estimate_s, request.weight)
         return SlotGrant(permit.target, number)
 
@@ -196,12 +198,13 @@
         if running is None:
             self._counters.permits("released_twice")
             return
-        used_s = now_s() - running.started_s
+        at_s = now_s()
+        used_s = at_s - running.started_s
         self._used_s[running.customer] = self._used_s.get(running.customer, 0.0) + used_s
         # The estimate was charged at the start.
         self._queue.charge(running.customer, used_s - self._queue.estimate_s, running.weight)
         self._queue.learn_duration(used_s)
-        self._pool.put_back(running.permit)
+        self._pool.put_back(running.permit, at_s)
         # With nothing waiting here or elsewhere, the next renewal returns what is due.
         if self._pool.others_wait or not self._queue.is_empty:
             self._dispatch()
@@ -262,7 +265,7 @@
         number = next(self._numbers)
         request = entry.request
         permit = self._pool.take(target)
-        self._running[number] = _Running(request.customer, entry.weight, permit)
+        self._running[number] = _Running(request.customer, entry.weight, permit, now_s())
         self._queue.charge(request.customer, self._queue.estimate_s, entry.weight)
         entry.future.set_result(Success(SlotGrant(target, number)))
 
