Use one constant for reads without needs

Cause: each read built a ReadNeed and compared it with the empty one. Change: a session without token, stated age and doubt gets the constant, which is recognised by identity.

--- a/libs/gateway/src/pistachiowinch/gateway/reads.py
+++ b/libs/gateway/src/pistachiowinch/gateway/reads.py
@@ -23,8 +23,14 @@
 __all__ = ["ReadPath"]
 
 
+_NO_NEED = ReadNeed(None, None, False)
+
+
 def _need_of(session: Session) -> ReadNeed:
+    """Return what a session's reads need; always the same object if that is nothing."""
     staleness_ms = session.max_staleness_ms
+    if session.token is None and staleness_ms is None and not session.is_token_doubtful:
+        return _NO_NEED
     return ReadNeed(
         session.token,
         None if staleness_ms is None else staleness_ms / 1000.0,
@@ -43,7 +49,6 @@
     is_primary_usable: bool
 
 
-_NO_NEED = ReadNeed(None, None, False)
 _FoundByService = dict[str, _Found]
 
 
@@ -70,7 +75,7 @@
         self._tracker = parts.tracker
         self._excluded = excluded
         # Most reads need nothing special, so that their targets can be shared.
-        self._shared = shared if self.need == _NO_NEED and not excluded else None
+        self._shared = shared if self.need is _NO_NEED and not excluded else None
         self._found: _Found | None = None
         self.primary_from_s = now_s() + context.settings.replica_wait_s
         self.update()
