--- a/libs/gateway/src/pistachiowinch/gateway/reads.py
+++ b/libs/gateway/src/pistachiowinch/gateway/reads.py
@@ -12,7 +12,6 @@
     READ_INTERRUPTED,
     Refusal,
 )
-from pistachiowinch.gateway.exchange import exchange
 from pistachiowinch.gateway.interfaces import ServiceParts
 from pistachiowinch.gateway.work import Borrowed, RunContext
 from pistachiowinch.groups.confirmation import Confirmed
@@ -24,8 +23,14 @@
 __all__ = ["ReadPath"]
 
 
+_NO_NEED = ReadNeed(None, None, False)
+
+
 def _need_of(session: Session) -> ReadNeed:
+    """Return what a session's reads need; always the same object if that is nothing."""
     staleness_ms = session.max_staleness_ms
+    if session.token is None and staleness_ms is None and not session.is_token_doubtful:
+        return _NO_NEED
     return ReadNeed(
         session.token,
         None if staleness_ms is None else staleness_ms / 1000.0,
@@ -44,7 +49,6 @@
     is_primary_usable: bool
 
 
-_NO_NEED = ReadNeed(None, None, False)
 _FoundByService = dict[str, _Found]
 
 
@@ -71,7 +75,7 @@
         self._tracker = parts.tracker
         self._excluded = excluded
         # Most reads need nothing special, so that their targets can be shared.
-        self._shared = shared if self.need == _NO_NEED and not excluded else None
+        self._shared = shared if self.need is _NO_NEED and not excluded else None
         self._found: _Found | None = None
         self.primary_from_s = now_s() + context.settings.replica_wait_s
         self.update()
@@ -183,7 +187,9 @@
         is_clean = False
         try:
             timeout_s = min(self._context.settings.exchange_timeout_s, deadline_s - now_s())
-            outcome = await exchange(held.pool, held.connection, statement.text, timeout_s)
+            outcome = await self._context.exchanges.run(
+                held.pool, held.connection, statement.text, timeout_s
+            )
             is_clean = not isinstance(outcome, Lost)
             return outcome
         finally:
