Check a returned connection only in its pool

Cause: the return of a borrowed connection asked whether it is usable, and the pool's release asks the same again and gives the same reason for closing. Change: Borrowed.release leaves the check to the pool.

--- a/libs/gateway/src/pistachiowinch/gateway/work.py
+++ b/libs/gateway/src/pistachiowinch/gateway/work.py
@@ -40,8 +40,9 @@
     term: int
 
     def release(self, is_clean: bool) -> None:
-        """Return both; the connection is closed unless it is clean."""
-        self.pool.release(self.connection, is_clean and self.connection.is_usable)
+        """Return both; the connection is closed unless it is clean and still usable."""
+        # The pool itself keeps only usable connections.
+        self.pool.release(self.connection, is_clean)
         self.parts.scheduler.release(self.grant)
 
 
