--- a/libs/measure/src/pistachiowinch/measure/reads.py
+++ b/libs/measure/src/pistachiowinch/measure/reads.py
@@ -93,7 +93,9 @@
         await caller.counted_read()
 
 
-async def _measure(deployment: Deployment, seed: int, is_baseline: bool) -> ReadFigures:
+async def _measure(
+    deployment: Deployment, seed: int, is_baseline: bool, run_s: float
+) -> ReadFigures:
     site = await MeasuredSite(deployment, seed).start()
     for service, group in site.groups.items():
         for target in group.targets:
@@ -113,7 +115,7 @@
     ]
     await sleep_s(_WARM_UP_S)
     tasks = [asyncio.ensure_future(_run_caller(site, one, is_baseline)) for one in callers]
-    await sleep_s(_RUN_S)
+    await sleep_s(run_s)
     for task in tasks:
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
@@ -137,14 +139,17 @@
     return figures
 
 
-def measure_reads(deployment: Deployment, seed: int, is_baseline: bool = False) -> ReadFigures:
+def measure_reads(
+    deployment: Deployment, seed: int, is_baseline: bool = False, run_s: float = _RUN_S
+) -> ReadFigures:
     """Run readers and writers while replicas apply writes 500 ms late.
 
     :param deployment: the sizes.
     :param seed: seed of the callers.
     :param is_baseline: all reads go to a confirmed primary.
+    :param run_s: simulated seconds.
     """
-    return run_paused(lambda: _measure(deployment, seed, is_baseline))
+    return run_paused(lambda: _measure(deployment, seed, is_baseline, run_s))
 
 
 def _main(seed: Annotated[int, typer.Option(help="Seed of the callers.")] = 1) -> None:
--- a/libs/operations/src/pistachiowinch/operations/host.py
+++ b/libs/operations/src/pistachiowinch/operations/host.py
@@ -1,6 +1,7 @@
 """One entry host: all parts put together, started and stopped."""
 
 import asyncio
+import random
 from collections.abc import Callable
 from typing import Any
 
@@ -85,7 +86,9 @@
         self.membership = Membership(
             identity, links.peers, self._local_state, links.host_list, self.metrics
         )
-        self.site = SiteReplica(self._state, links.store, links.peers, self.membership)
+        # Seeded by name, pauses still differ between hosts, and a simulated site repeats itself.
+        jitter = random.Random(f"{host.site}/{host.name}")
+        self.site = SiteReplica(self._state, links.store, links.peers, self.membership, rng=jitter)
 
     def _build_work(self) -> None:
         """Build everything that runs callers' statements."""
