--- a/libs/groups/src/pistachiowinch/groups/tracker.py
+++ b/libs/groups/src/pistachiowinch/groups/tracker.py
@@ -41,7 +41,7 @@
 
 
 class Tracked(NamedTuple):
-    """Last known state of a target; see ``routing.choice.Tracked``.
+    """Last known state of a target.
 
     :param status: what it reported.
     :param as_of_s: loop time at which the status request was sent.
--- a/libs/measure/src/pistachiowinch/measure/caller.py
+++ b/libs/measure/src/pistachiowinch/measure/caller.py
@@ -1,7 +1,7 @@
 """Callers that write numbered records, read them back and keep a history of the answers."""
 
 import enum
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, TypeVar
 
 from returns.result import Failure, Success
 
@@ -12,7 +12,7 @@
 from pistachiowinch.routing.session import Session
 from pistachiowinch.routing.statements import Statement, StatementKind
 
-__all__ = ["Caller", "Event", "EventKind", "Outcome"]
+__all__ = ["Caller", "Event", "EventKind", "Outcome", "spread_callers"]
 
 
 class EventKind(enum.Enum):
@@ -233,3 +233,29 @@
         )
         self._history.append(event)
         return event
+
+
+_C = TypeVar("_C", bound=Caller)
+
+
+def spread_callers(
+    kind: type[_C], site: MeasuredSite, count: int, history: list[Event]
+) -> list[_C]:
+    """Create callers that are spread evenly over customers and services.
+
+    :param kind: class of the callers.
+    :param count: number of callers.
+    :param history: where their events go.
+    """
+    customers = site.deployment.customer_names
+    services = site.deployment.service_names
+    return [
+        kind(
+            site,
+            f"caller-{number}",
+            customers[number % len(customers)],
+            services[number % len(services)],
+            history,
+        )
+        for number in range(count)
+    ]
--- a/libs/measure/src/pistachiowinch/measure/changes.py
+++ b/libs/measure/src/pistachiowinch/measure/changes.py
@@ -10,9 +10,10 @@
 import typer
 
 from pistachiowinch.base.clock import now_s, sleep_s
-from pistachiowinch.measure.caller import Caller, Event, Outcome
+from pistachiowinch.measure.caller import Caller, Event, Outcome, spread_callers
 from pistachiowinch.measure.deployment import DEPLOYMENTS, Deployment
-from pistachiowinch.measure.site import MeasuredSite, SentStatement, run_paused
+from pistachiowinch.measure.paused import run_paused
+from pistachiowinch.measure.site import MeasuredSite, SentStatement
 
 __all__ = ["ChangeFigures", "measure_changes"]
 
@@ -52,18 +53,7 @@
         self.history: list[Event] = []
         self.changed_s = 0.0
         self.version = 0
-        deployment = site.deployment
-        customers, services = deployment.customer_names, deployment.service_names
-        self.callers = [
-            Caller(
-                site,
-                f"caller-{number}",
-                customers[number % len(customers)],
-                services[number % len(services)],
-                self.history,
-            )
-            for number in range(_CALLERS)
-        ]
+        self.callers = spread_callers(Caller, site, _CALLERS, self.history)
 
     async def run_caller(self, caller: Caller) -> None:
         """Work until cancelled; reconnect to a ready host as the load balancer would."""
--- a/libs/measure/src/pistachiowinch/measure/failover.py
+++ b/libs/measure/src/pistachiowinch/measure/failover.py
@@ -11,7 +11,6 @@
 from collections.abc import Callable, Coroutine, Sequence
 from typing import Any, NamedTuple
 
-import looptime
 import numpy
 import typer
 
@@ -35,6 +34,7 @@
     TargetConnection,
     TargetUnreachable,
 )
+from pistachiowinch.measure.paused import run_paused
 from pistachiowinch.peering.membership import Membership
 from pistachiowinch.peering.messages import LocalState
 from pistachiowinch.standins.database_group import FakeDatabaseGroup, GroupTimes, OrderRecord
@@ -50,7 +50,6 @@
     "LedgerWriter",
     "WriteResult",
     "measure_failover",
-    "run_paused",
     "summarize",
 ]
 
@@ -501,18 +500,6 @@
     )
 
 
-def run_paused(work: Coroutine[Any, Any, Any]) -> Any:
-    """Run a coroutine on a loop of its own whose clock is paused.
-
-    :param work: the coroutine.
-    :returns: its result.
-    """
-    with asyncio.Runner(
-        loop_factory=lambda: looptime.new_event_loop(start=0.0, noop_cycles=0)
-    ) as runner:
-        return runner.run(work)
-
-
 def measure_failover(seed: int, scenario: str = "calm") -> FailoverFigures:
     """Crash the primary under load and measure the gap.
 
@@ -522,7 +509,7 @@
     """
     if scenario not in SCENARIOS:
         raise ValueError(f"unknown scenario {scenario}")
-    return run_paused(_run(seed, scenario))
+    return run_paused(lambda: _run(seed, scenario))
 
 
 class GapSummary(NamedTuple):
--- a/libs/measure/src/pistachiowinch/measure/fairness.py
+++ b/libs/measure/src/pistachiowinch/measure/fairness.py
@@ -9,7 +9,6 @@
 from collections.abc import Mapping
 from typing import Annotated, NamedTuple
 
-import looptime
 import typer
 from returns.result import Success
 
@@ -17,6 +16,7 @@
 from pistachiowinch.limits.fair_queue import FairLookAhead, Fifo, PerTargetQueues, QueuePolicy
 from pistachiowinch.limits.permits import PermitExchange
 from pistachiowinch.limits.scheduler import ServiceScheduler, SlotRequest
+from pistachiowinch.measure.paused import run_paused
 from pistachiowinch.standins.peer_network import PeerNetwork
 
 __all__ = ["FairnessFigures", "FairnessScenario", "max_min_shares", "measure_fairness"]
@@ -194,15 +194,11 @@
     :param seed: seed of arrivals and durations.
     :param scenario: what to run; fair queues with look-ahead by default.
     """
-    loop = looptime.new_event_loop()
-    try:
 
-        async def start() -> FairnessFigures:
-            return await _Run(seed, scenario or FairnessScenario()).run()
+    async def start() -> FairnessFigures:
+        return await _Run(seed, scenario or FairnessScenario()).run()
 
-        return loop.run_until_complete(start())
-    finally:
-        loop.close()
+    return run_paused(start)
 
 
 def main(
--- a/libs/measure/src/pistachiowinch/measure/main.py
+++ b/libs/measure/src/pistachiowinch/measure/main.py
@@ -4,7 +4,6 @@
 from collections.abc import Sequence
 from typing import Annotated
 
-import click
 import msgspec
 import typer
 
@@ -72,14 +71,9 @@
     """
     command = typer.main.get_command(app)
     try:
-        result = command.main(
-            args=None if arguments is None else list(arguments),
-            prog_name="pistachiowinch measure",
-            standalone_mode=False,
+        command.main(
+            args=None if arguments is None else list(arguments), prog_name="pistachiowinch measure"
         )
-    except click.ClickException as error:
-        error.show()
-        return error.exit_code
-    except click.Abort:
-        return 1
-    return result if isinstance(result, int) else 0
+    except SystemExit as end:
+        return end.code if isinstance(end.code, int) else 1
+    return 0
--- a/libs/measure/src/pistachiowinch/measure/promises.py
+++ b/libs/measure/src/pistachiowinch/measure/promises.py
@@ -7,10 +7,11 @@
 import typer
 
 from pistachiowinch.base.clock import sleep_s
-from pistachiowinch.measure.caller import Caller, Event, EventKind, Outcome
+from pistachiowinch.measure.caller import Caller, Event, EventKind, Outcome, spread_callers
 from pistachiowinch.measure.deployment import DEPLOYMENTS, Deployment
 from pistachiowinch.measure.faults import FAULTS, FaultInjector
-from pistachiowinch.measure.site import MeasuredSite, run_paused
+from pistachiowinch.measure.paused import run_paused
+from pistachiowinch.measure.site import MeasuredSite
 
 __all__ = ["PromiseFigures", "check_history", "measure_promises"]
 
@@ -125,17 +126,7 @@
 ) -> PromiseFigures:
     site = await MeasuredSite(deployment, seed).start()
     history: list[Event] = []
-    customers, services = deployment.customer_names, deployment.service_names
-    callers = [
-        Caller(
-            site,
-            f"caller-{number}",
-            customers[number % len(customers)],
-            services[number % len(services)],
-            history,
-        )
-        for number in range(_CALLERS)
-    ]
+    callers = spread_callers(Caller, site, _CALLERS, history)
     injector = FaultInjector(site, kinds)
     tasks = [asyncio.ensure_future(_run_caller(site, caller)) for caller in callers]
     faults = asyncio.ensure_future(injector.run())
--- a/libs/measure/src/pistachiowinch/measure/rates.py
+++ b/libs/measure/src/pistachiowinch/measure/rates.py
@@ -10,12 +10,12 @@
 from collections.abc import Iterable
 from typing import Annotated, NamedTuple
 
-import looptime
 import typer
 from returns.result import Success
 
 from pistachiowinch.base.clock import now_s, sleep_s
 from pistachiowinch.limits.rates import Borrowing, EqualSplit, RateEscrow, RateLimit, RatePolicy
+from pistachiowinch.measure.paused import run_paused
 from pistachiowinch.standins.peer_network import NetworkFaults, PeerNetwork
 
 __all__ = ["RateFigures", "RateScenario", "count_excess", "measure_rates"]
@@ -236,15 +236,11 @@
     :param seed: seed of arrivals, faults and failures.
     :param scenario: what to run; calm with borrowing by default.
     """
-    loop = looptime.new_event_loop()
-    try:
 
-        async def start() -> RateFigures:
-            return await _Run(seed, scenario or RateScenario()).run()
+    async def start() -> RateFigures:
+        return await _Run(seed, scenario or RateScenario()).run()
 
-        return loop.run_until_complete(start())
-    finally:
-        loop.close()
+    return run_paused(start)
 
 
 def main(
--- a/libs/measure/src/pistachiowinch/measure/reads.py
+++ b/libs/measure/src/pistachiowinch/measure/reads.py
@@ -8,9 +8,10 @@
 
 from pistachiowinch.base.clock import sleep_s
 from pistachiowinch.base.tokens import decode_token
-from pistachiowinch.measure.caller import Caller, Event, EventKind, Outcome
+from pistachiowinch.measure.caller import Caller, Event, EventKind, Outcome, spread_callers
 from pistachiowinch.measure.deployment import DEPLOYMENTS, Deployment
-from pistachiowinch.measure.site import MeasuredSite, run_paused
+from pistachiowinch.measure.paused import run_paused
+from pistachiowinch.measure.site import MeasuredSite
 
 __all__ = ["ReadFigures", "measure_reads"]
 
@@ -102,17 +103,7 @@
             if target != site.primary(service):
                 group.set_lag(target, receive_s=0.0, apply_s=_LAG_S)
     history: list[Event] = []
-    customers, services = deployment.customer_names, deployment.service_names
-    callers = [
-        _CountingCaller(
-            site,
-            f"caller-{number}",
-            customers[number % len(customers)],
-            services[number % len(services)],
-            history,
-        )
-        for number in range(_CALLERS)
-    ]
+    callers = spread_callers(_CountingCaller, site, _CALLERS, history)
     await sleep_s(_WARM_UP_S)
     tasks = [asyncio.ensure_future(_run_caller(site, one, is_baseline)) for one in callers]
     await sleep_s(run_s)
--- a/libs/measure/src/pistachiowinch/measure/site.py
+++ b/libs/measure/src/pistachiowinch/measure/site.py
@@ -1,10 +1,8 @@
 """A site of real hosts over the in-memory fakes, on the paused clock."""
 
 import random
-from collections.abc import Awaitable, Callable, Mapping
-from typing import Any, NamedTuple, TypeVar
-
-import looptime
+from collections.abc import Callable, Mapping
+from typing import Any, NamedTuple
 
 from pistachiowinch.base.clock import now_s, sleep_s
 from pistachiowinch.base.metrics import Metrics
@@ -19,7 +17,7 @@
 from pistachiowinch.standins.memory_store import MemoryStore, MemoryStoreClient
 from pistachiowinch.standins.peer_network import PeerNetwork
 
-__all__ = ["SCHEMA", "MeasuredSite", "SentStatement", "run_paused"]
+__all__ = ["SCHEMA", "MeasuredSite", "SentStatement"]
 
 # The only unique key is generated, so that a write that ran twice leaves two rows.
 SCHEMA = (
@@ -45,8 +43,6 @@
 deadline_s = 10
 """
 
-_T = TypeVar("_T")
-
 
 class SentStatement(NamedTuple):
     """One statement that a host sent to a target."""
@@ -89,18 +85,6 @@
         return _RecordingConnection(connection, self._host, target, self._sent)
 
 
-def run_paused(scenario: Callable[[], Awaitable[_T]]) -> _T:
-    """Run a scenario on a loop whose clock only advances while everything waits.
-
-    :param scenario: the scenario; it starts at loop time 0.
-    """
-    loop = looptime.new_event_loop()
-    try:
-        return loop.run_until_complete(scenario())
-    finally:
-        loop.close()
-
-
 class MeasuredSite:
     """Store, peer network, database groups and hosts of one deployment.
 
--- a/libs/measure/src/pistachiowinch/measure/store_calls.py
+++ b/libs/measure/src/pistachiowinch/measure/store_calls.py
@@ -12,7 +12,6 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-import looptime
 import numpy
 
 from pistachiowinch.base.clock import now_s, sleep_s
@@ -21,6 +20,7 @@
 from pistachiowinch.configuration.site import SiteReplica
 from pistachiowinch.configuration.state import SiteState
 from pistachiowinch.links.hosts import ListedHost
+from pistachiowinch.measure.paused import run_paused
 from pistachiowinch.peering.membership import Membership
 from pistachiowinch.peering.messages import LocalState
 from pistachiowinch.standins.memory_store import MemoryStore
@@ -172,14 +172,7 @@
 
     :param site_counts: numbers of sites, at least two different ones for a slope.
     """
-    found = []
-    for site_count in site_counts:
-        loop = looptime.new_event_loop()
-        try:
-            found.append(loop.run_until_complete(_measure_size(site_count)))
-        finally:
-            loop.close()
-    return found
+    return [run_paused(lambda count=count: _measure_size(count)) for count in site_counts]
 
 
 def fit_slope(points: Sequence[CallRates]) -> StoreCallSlope:
--- a/libs/routing/src/pistachiowinch/routing/choice.py
+++ b/libs/routing/src/pistachiowinch/routing/choice.py
@@ -8,25 +8,10 @@
 from typing import NamedTuple, Protocol
 
 from pistachiowinch.base.tokens import SessionToken
+from pistachiowinch.groups.tracker import Tracked
 from pistachiowinch.links.targets import TargetRole, TargetStatus
 
-__all__ = ["GroupView", "ReadNeed", "Tracked", "covers", "is_fresh_enough", "read_candidates"]
-
-
-class Tracked(NamedTuple):
-    """Last known state of a target.
-
-    :param status: what it reported.
-    :param as_of_s: loop time at which the status request was sent.
-    :param staleness_bound_s: age of the oldest missing entry at ``as_of_s``, at most; None if
-        unknown.
-    :param is_reachable: whether the last probe was answered.
-    """
-
-    status: TargetStatus
-    as_of_s: float
-    staleness_bound_s: float | None
-    is_reachable: bool
+__all__ = ["GroupView", "ReadNeed", "covers", "is_fresh_enough", "read_candidates"]
 
 
 class GroupView(Protocol):
