Check the key again after a wait for a slot or a connection

Change: whatever a statement borrows is given back and the statement refused if the session's key or this host's standing is gone. Conclusion: withdrawn keys also stop what waits in a queue.

--- a/libs/gateway/src/pistachiowinch/gateway/gateway.py
+++ b/libs/gateway/src/pistachiowinch/gateway/gateway.py
@@ -98,7 +98,7 @@
         self._use.update(configuration.current)
         self.admission = Admission(configuration, standing, availability_zone)
         context = self._context = RunContext(
-            services, configuration, self._use, retries, metrics, self._settings
+            services, configuration, self._use, retries, metrics, self._settings, self.admission
         )
         outcomes = self._outcomes = OutcomeResolver(context)
         self._reads = ReadPath(context)
--- a/libs/gateway/src/pistachiowinch/gateway/transactions.py
+++ b/libs/gateway/src/pistachiowinch/gateway/transactions.py
@@ -261,7 +261,7 @@
         request = SlotRequest(
             session.customer, weight, deadline_s, lambda candidate: candidate == target
         )
-        return await parts.scheduler.acquire(request)
+        return await self._context.wait_for_slot(session, parts, request)
 
     async def _pin(
         self, session: Session, parts: ServiceParts, deadline_s: float
--- a/libs/gateway/src/pistachiowinch/gateway/work.py
+++ b/libs/gateway/src/pistachiowinch/gateway/work.py
@@ -11,6 +11,7 @@
 from pistachiowinch.base.codes import DEADLINE_PASSED, NO_PRIMARY, Refusal
 from pistachiowinch.base.metrics import Metrics
 from pistachiowinch.configuration.document import Configuration
+from pistachiowinch.gateway.admission import Admission
 from pistachiowinch.gateway.exchange import Exchanges
 from pistachiowinch.gateway.interfaces import (
     LimitsRetries,
@@ -122,8 +123,10 @@
         retries: LimitsRetries,
         metrics: Metrics,
         settings: GatewaySettings,
+        admission: Admission,
     ) -> None:
         """Keep the parts."""
+        self._admission = admission
         self.services = services
         self.use = use
         self.retries = retries
@@ -201,20 +204,53 @@
         while True:
             grant = parts.scheduler.try_acquire(request)
             if grant is None:
-                waited = await self._wait_for_slot(parts, request, wake_s)
+                waited = await self.wait_for_slot(session, parts, request, wake_s)
                 if not isinstance(waited, Success):
                     return waited
                 grant = waited.unwrap()
             held = await self._connect(parts, grant, deadline_s)
             if isinstance(held, Success):
-                return held
+                return self._checked(session, held)
             parts.tracker.note_lost(grant.target)
             self.metrics.retries.labels(reason="connect_failed").inc()
             if now_s() + self.settings.connect_backoff_s >= deadline_s:
                 return self._too_late("no target accepted a connection in time")
             await sleep_s(self.settings.connect_backoff_s)
 
-    async def _wait_for_slot(
+    def _checked(self, session: Session, held: Success[Borrowed]) -> Result[Borrowed, Refusal]:
+        """Return what was borrowed, unless the session's key was withdrawn in the meantime."""
+        checked = self._admission.check_running_work(session)
+        if isinstance(checked, Success):
+            return held
+        held.unwrap().release(is_clean=True)
+        return checked
+
+    async def wait_for_slot(
+        self,
+        session: Session,
+        parts: ServiceParts,
+        request: SlotRequest,
+        wake_s: float | None = None,
+    ) -> Result[SlotGrant, Refusal]:
+        """Wait in fair order, then check that the session may still run.
+
+        The wait may last several seconds, in which its key may have been withdrawn.
+
+        :param session: the caller's session.
+        :param parts: the service's parts.
+        :param request: what waits.
+        :param wake_s: loop time at which the request may fit more targets, or None.
+        """
+        waited = await self._wait_in_queue(parts, request, wake_s)
+        if not isinstance(waited, Success):
+            return waited
+        checked = self._admission.check_running_work(session)
+        if not isinstance(checked, Success):
+            parts.scheduler.release(waited.unwrap())
+            return checked
+        return waited
+
+    async def _wait_in_queue(
         self, parts: ServiceParts, request: SlotRequest, wake_s: float | None
     ) -> Result[SlotGrant, Refusal]:
         if wake_s is None:
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -1,5 +1,7 @@
 """Guards against new work at hosts, zones, targets or with keys that were taken out."""
 
+import asyncio
+
 import pytest
 from gateway.gateway_world import DEPLOYMENT, HOSTS, SERVICE, insert, refused_with, with_world
 from returns.result import Failure
@@ -164,3 +166,19 @@
         await world.run(session, insert("a"))
     session.is_busy = False
     (await world.run(session, insert("a"))).unwrap()
+
+
+@with_world
+async def test_key_withdrawn_while_a_write_waits_for_the_primary(world):
+    """Guards against a queued write that runs seconds after its key was withdrawn."""
+    session = await world.login()
+    old = world.primary
+    for target in world.targets:
+        world.group.crash(target)
+    write = asyncio.create_task(world.run(session, insert("a")))
+    await sleep_s(1.0)
+    await _patch(world, (["keys", "customer-1-key"], None))
+    for target in world.targets:
+        world.group.restart(target)
+    assert refused_with(await write) is KEY_WITHDRAWN
+    assert world.names(old) == []
