--- /dev/null
+++ b/libs/fleet/src/pistachiowinch/fleet/following.py
@@ -0,0 +1,129 @@
+"""Keeps a local copy of the keys under one prefix of a polling store."""
+
+import asyncio
+import random
+from collections.abc import Callable, Iterable
+
+from pistachiowinch.base.clock import now_s, sleep_s
+from pistachiowinch.base.decisions import DecisionLog
+from pistachiowinch.links.store import (
+    HistoryLost,
+    KeyValue,
+    PollingStore,
+    StoreError,
+    WatchEvent,
+)
+
+__all__ = ["PrefixFollower"]
+
+# Bounds how long a poll whose connection went silent hides changes; a change must be in force
+# within 3 s after 4 s of calm.
+POLL_S = 4.0
+# Retries start at once and grow to this, so that a returned store is found within half a second.
+FIRST_RETRY_S = 0.05
+LAST_RETRY_S = 0.4
+
+
+class PrefixFollower:
+    """Reads a prefix, then follows its changes; reads again when the history is lost.
+
+    :param store: where the keys live.
+    :param prefix: common start of the keys.
+    :param on_change: called with the changed keys, and whether the copy was replaced as a whole.
+    :param log: decisions of this part.
+    """
+
+    def __init__(
+        self,
+        store: PollingStore,
+        prefix: str,
+        on_change: Callable[[Iterable[str], bool], None],
+        log: DecisionLog,
+    ) -> None:
+        """Create an empty copy; :meth:`run` fills it."""
+        self._store = store
+        self._prefix = prefix
+        self._on_change = on_change
+        self._log = log
+        self._revision: int | None = None
+        self._poll: asyncio.Task | None = None
+        self.items: dict[str, KeyValue] = {}
+        self.is_filled = asyncio.Event()
+        self.is_broken = True
+        self.proved_s = float("-inf")
+        self.regained_s = float("-inf")
+
+    @property
+    def revision(self) -> int:
+        """Revision up to which changes are known; 0 before the first read."""
+        return self._revision or 0
+
+    def refresh(self) -> None:
+        """Read everything again now, because a peer knows something newer."""
+        self._revision = None
+        if self._poll is not None:
+            self._poll.cancel()
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        retry_s = FIRST_RETRY_S
+        while True:
+            self._poll = asyncio.get_running_loop().create_task(self._step())
+            try:
+                await asyncio.shield(self._poll)
+            except asyncio.CancelledError:
+                if not self._poll.cancelled():
+                    self._poll.cancel()
+                    raise
+            except HistoryLost as error:
+                self._log.write("history_lost", prefix=self._prefix, detail=str(error))
+                self._revision = None
+            except StoreError:
+                self._note_broken()
+                await sleep_s(retry_s * random.uniform(0.5, 1.0))
+                retry_s = min(2.0 * retry_s, LAST_RETRY_S)
+            else:
+                retry_s = FIRST_RETRY_S
+
+    async def _step(self) -> None:
+        sent_s = now_s()
+        if self._revision is None:
+            await self._read_all()
+            self._note_proved(sent_s)
+            return
+        # A poll right after an outage returns soon, so that the contact is known to be back.
+        wait_s = 0.0 if self.is_broken else POLL_S
+        batch = await self._store.changes(self._prefix, self._revision, wait_s)
+        self._apply(batch.events)
+        self._revision = batch.revision
+        self._note_proved(sent_s if batch.events else sent_s + wait_s)
+
+    async def _read_all(self) -> None:
+        snapshot = await self._store.read_prefix(self._prefix)
+        self.items = {item.key: item for item in snapshot.items}
+        self._revision = snapshot.revision
+        self.is_filled.set()
+        self._on_change(tuple(self.items), True)
+
+    def _apply(self, events: Iterable[WatchEvent]) -> None:
+        changed = []
+        for event in events:
+            changed.append(event.key)
+            if event.value is None:
+                self.items.pop(event.key, None)
+            else:
+                self.items[event.key] = KeyValue(event.key, event.value, event.mod_revision)
+        if changed:
+            self._on_change(changed, False)
+
+    def _note_broken(self) -> None:
+        if not self.is_broken:
+            self.is_broken = True
+            self._log.write("watch_lost", prefix=self._prefix, revision=self._revision)
+
+    def _note_proved(self, at_s: float) -> None:
+        self.proved_s = max(self.proved_s, at_s)
+        if self.is_broken:
+            self.is_broken = False
+            self.regained_s = now_s()
+            self._log.write("watch_regained", prefix=self._prefix, revision=self._revision)
--- a/libs/links/src/pistachiowinch/links/store.py
+++ b/libs/links/src/pistachiowinch/links/store.py
@@ -5,11 +5,15 @@
 
 __all__ = [
     "NO_LEASE",
+    "ChangeBatch",
     "Compare",
     "Delete",
+    "HistoryLost",
     "KeyValue",
     "Operation",
+    "PollingStore",
     "Put",
+    "Snapshot",
     "Store",
     "StoreError",
     "StoreReplyLost",
@@ -33,6 +37,10 @@
     """The request may have taken effect; the caller has to read back."""
 
 
+class HistoryLost(StoreError):
+    """The changes after the given revision are no longer kept; the caller has to read again."""
+
+
 class KeyValue(NamedTuple):
     """One key as the store holds it."""
 
@@ -121,3 +129,40 @@
 
         :raises StoreUnavailable: when the watch breaks; the caller reads again and restarts.
         """
+
+
+class Snapshot(NamedTuple):
+    """All keys under a prefix.
+
+    :param revision: changes after it may be missing from ``items``.
+    """
+
+    items: tuple[KeyValue, ...]
+    revision: int
+
+
+class ChangeBatch(NamedTuple):
+    """Changes under a prefix.
+
+    :param revision: where the next call continues.
+    """
+
+    events: tuple[WatchEvent, ...]
+    revision: int
+
+
+class PollingStore(Store, Protocol):
+    """A store whose watches are long polls."""
+
+    async def read_prefix(self, prefix: str) -> Snapshot:
+        """Read all keys under a prefix, and the revision from which changes follow."""
+
+    async def changes(self, prefix: str, after_revision: int, wait_s: float) -> ChangeBatch:
+        """Wait for changes under a prefix.
+
+        :param wait_s: after this time the answer is empty.
+        :raises HistoryLost: if the history no longer reaches back to ``after_revision``.
+        """
+
+    async def end_lease(self, lease: int) -> None:
+        """End a lease; its keys are removed."""
--- /dev/null
+++ b/libs/sessions/src/pistachiowinch/sessions/exchanges.py
@@ -0,0 +1,104 @@
+"""Runs one statement on a borrowed connection and learns from its outcome."""
+
+from pistachiowinch.base.clock import now_s
+from pistachiowinch.links.statements import (
+    Interrupted,
+    Position,
+    Ran,
+    ReasonRefused,
+    Refused,
+    StatementOutcome,
+)
+from pistachiowinch.sessions.alignment import align
+from pistachiowinch.sessions.borrowing import Borrowed
+from pistachiowinch.sessions.parts import SessionParts
+from pistachiowinch.sessions.work import CallerState, Work
+
+__all__ = ["exchange"]
+
+
+async def exchange(
+    parts: SessionParts,
+    borrowed: Borrowed,
+    state: CallerState,
+    work: Work,
+    after: Position | None,
+    deadline_s: float,
+) -> StatementOutcome:
+    """Align the connection with the session and run one statement.
+
+    :param after: position that the target must have.
+    :param deadline_s: loop time at which the target counts as silent.
+    :returns: the target's outcome; Interrupted with ``is_sent`` false if the statement never left.
+    """
+    held = borrowed.held
+    service = held.target.service
+    token = parts.health.begin(held.target.name)
+    if borrowed.is_primary:
+        parts.work.begin_exchange(service)
+    try:
+        aligned = await align(held, state.values, work.shape, deadline_s)
+        if not isinstance(aligned, Ran):
+            held.connection.close()
+            parts.health.note_failure(held.target.name, "session state was not taken")
+            return Interrupted(False, f"session state was not taken: {aligned}")
+        if borrowed.is_primary and not _is_still_primary(parts, borrowed):
+            return Interrupted(False, "the primary changed")
+        sent_s = now_s()
+        left_s = max(deadline_s - sent_s, 0.001)
+        outcome = await held.connection.run(work.request_id, work.statement, after, left_s)
+        _learn(parts, borrowed, outcome, sent_s, work)
+        return outcome
+    finally:
+        if borrowed.is_primary:
+            parts.work.end_exchange(service)
+        parts.health.end(held.target.name, token)
+
+
+def _is_still_primary(parts: SessionParts, borrowed: Borrowed) -> bool:
+    service = borrowed.held.target.service
+    is_same = parts.primaries.epoch(service) == borrowed.epoch
+    return is_same and parts.proved_primary(service) == borrowed.held.target.name
+
+
+def _learn(
+    parts: SessionParts, borrowed: Borrowed, outcome: StatementOutcome, sent_s: float, work: Work
+) -> None:
+    held = borrowed.held
+    target = held.target.name
+    match outcome:
+        case Ran(_, _, position):
+            parts.health.note_answer(target, now_s() - sent_s, position)
+            if borrowed.is_primary:
+                parts.freshness_of(held.target.service).note(borrowed.epoch, sent_s, position)
+        case Refused(reason=ReasonRefused.LAGGING, position=position):
+            parts.health.note_alive(target)
+            parts.health.note_lagging(target, position)
+        case Refused(reason=ReasonRefused.NO_STATEMENT):
+            held.prepared.clear()
+        case Refused(reason=ReasonRefused.BUSY):
+            parts.health.note_alive(target)
+            parts.health.note_refused(target)
+        case Refused():
+            parts.health.note_alive(target)
+        case Interrupted(_, cause):
+            parts.health.note_failure(target, cause)
+            parts.connections.close_idle(target, "silent")
+    if not isinstance(outcome, Ran):
+        parts.log.write(
+            "exchange_failed",
+            request=work.request_id,
+            target=target,
+            is_primary=borrowed.is_primary,
+            epoch=borrowed.epoch,
+            took_s=round(now_s() - sent_s, 3),
+            outcome=_describe(outcome),
+        )
+
+
+def _describe(outcome: Refused | Interrupted) -> str:
+    match outcome:
+        case Refused(reason, detail):
+            return f"{reason.value}: {detail[:60]}"
+        case Interrupted(is_sent, cause):
+            return f"interrupted, sent {is_sent}: {cause[:80]}"
--- /dev/null
+++ b/libs/sessions/src/pistachiowinch/sessions/freshness.py
@@ -0,0 +1,70 @@
+"""Which log position a read must see.
+
+Load pattern: most statements are reads that accept data of a stated age. The oldest observation of
+the primary that is still young enough lets the most replicas serve them, and no probe is needed
+while the primary answers other work.
+"""
+
+from collections import deque
+from typing import NamedTuple
+
+from pistachiowinch.links.statements import Position
+
+__all__ = ["FreshnessLog"]
+
+# Largest staleness that a route may state and still be served by replicas.
+KEPT_S = 10.0
+# Observations closer than this add nothing.
+SPACING_S = 0.02
+
+
+class _Observation(NamedTuple):
+    sent_s: float
+    epoch: int
+    position: Position
+
+
+class FreshnessLog:
+    """Positions that one service's primary has reported, dated with the time of the question."""
+
+    def __init__(self) -> None:
+        """Create a log without observations."""
+        self._observations: deque[_Observation] = deque()
+
+    def note(self, epoch: int, sent_s: float, position: Position | None) -> None:
+        """Take a position from an answer of the proved primary.
+
+        :param epoch: number of the switch that made it primary.
+        :param sent_s: loop time before which every acknowledged commit is in the position.
+        """
+        if position is None:
+            return
+        if self._observations:
+            newest = self._observations[-1]
+            is_known = newest.epoch == epoch and sent_s - newest.sent_s < SPACING_S
+            if is_known or newest.epoch > epoch or sent_s < newest.sent_s:
+                return
+        self._observations.append(_Observation(sent_s, epoch, position))
+        while self._observations[0].sent_s < sent_s - KEPT_S:
+            self._observations.popleft()
+
+    def required(self, epoch: int, read_start_s: float, max_staleness_s: float) -> Position | None:
+        """Return the position that covers all commits which a read must see.
+
+        An earlier primary's positions stay valid during a switch, but its successor may never have
+        had them, so its own are preferred.
+
+        :param epoch: number of the newest switch.
+        :param read_start_s: loop time at which the read arrived.
+        :param max_staleness_s: age of commits that it may lack.
+        :returns: None if no observation is young enough.
+        """
+        oldest_s = read_start_s - max_staleness_s
+        earlier: Position | None = None
+        for observation in self._observations:
+            if observation.sent_s < oldest_s:
+                continue
+            if observation.epoch == epoch:
+                return observation.position
+            earlier = earlier or observation.position
+        return earlier
--- /dev/null
+++ b/libs/sessions/src/pistachiowinch/sessions/probing.py
@@ -0,0 +1,62 @@
+"""Looks whether targets that stopped answering accept connections."""
+
+import asyncio
+
+from pistachiowinch.base.clock import sleep_s
+from pistachiowinch.links.statements import StatementLink, TargetRefused
+from pistachiowinch.sessions.health import TargetHealth
+from pistachiowinch.sessions.site import SiteView, Target
+
+__all__ = ["TargetProber"]
+
+PROBE_EVERY_S = 0.1
+# A busy target greets after its queue; a dark one never does.
+PROBE_TIMEOUT_S = 0.3
+
+
+class TargetProber:
+    """Opens a connection to each doubtful target and closes it.
+
+    :param view: the targets.
+    :param health: tells which are doubtful, and takes the result.
+    :param link: opens connections.
+    """
+
+    def __init__(self, view: SiteView, health: TargetHealth, link: StatementLink) -> None:
+        """Create a prober; :meth:`run` starts it."""
+        self._view = view
+        self._health = health
+        self._link = link
+        self._running: dict[str, asyncio.Task] = {}
+
+    async def run(self) -> None:
+        """Probe until cancelled."""
+        try:
+            while True:
+                self._start_probes()
+                await sleep_s(PROBE_EVERY_S)
+        finally:
+            for task in self._running.values():
+                task.cancel()
+
+    def _start_probes(self) -> None:
+        for service in self._view.services:
+            for name, target in self._view.targets(service).items():
+                if name not in self._running and self._health.needs_probe(name):
+                    task = asyncio.get_running_loop().create_task(self._probe(target))
+                    self._running[name] = task
+                    task.add_done_callback(lambda _, name=name: self._running.pop(name, None))
+
+    async def _probe(self, target: Target) -> None:
+        try:
+            connection = await self._link.connect(
+                target.service, target.name, target.address, "", PROBE_TIMEOUT_S
+            )
+        except TargetRefused as error:
+            if error.reason is None:
+                self._health.note_failure(target.name, f"probe: {error}")
+            else:
+                self._health.note_alive(target.name)
+            return
+        connection.close()
+        self._health.note_alive(target.name)
--- /dev/null
+++ b/libs/sessions/src/pistachiowinch/sessions/session.py
@@ -0,0 +1,232 @@
+"""One caller's session: what it may do, what it keeps, and who answers each statement."""
+
+import asyncio
+
+from returns.result import Failure
+
+from pistachiowinch.base.clock import now_s
+from pistachiowinch.base.codes import (
+    BAD_KEY,
+    HOST_STOPPING,
+    KEY_WITHDRAWN,
+    STATEMENT_NOT_SUPPORTED,
+    STATEMENT_TOO_LARGE,
+    TRANSACTION_ABORTED,
+    UNKNOWN_SERVICE,
+    Refusal,
+)
+from pistachiowinch.links.statements import (
+    Begin,
+    Commit,
+    Deallocate,
+    Execute,
+    Prepare,
+    Read,
+    Rollback,
+    SetValue,
+    Statement,
+    Unsupported,
+    Write,
+)
+from pistachiowinch.sessions.parts import SessionParts
+from pistachiowinch.sessions.replies import Done, Reply, SessionState
+from pistachiowinch.sessions.singles import run_single
+from pistachiowinch.sessions.site import Route
+from pistachiowinch.sessions.transactions import Transaction
+from pistachiowinch.sessions.work import CallerState, Operation, work_of
+
+__all__ = ["OPEN_CUSTOMER", "Session"]
+
+# Customer of callers of open routes that send no key.
+OPEN_CUSTOMER = ""
+# Bounds the memory of one session.
+MAX_KEPT = 256
+
+
+class Session:
+    """A caller's session; statements come one at a time.
+
+    :param parts: what the host's sessions share.
+    :param database: name that the caller connected to.
+    :param key: the caller's key; never logged and never passed on.
+    """
+
+    def __init__(self, parts: SessionParts, database: str, key: str) -> None:
+        """Create a session; :meth:`admit` tells whether it may be opened."""
+        self._parts = parts
+        self._database = database
+        self._key = key
+        self._state = CallerState()
+        self._transaction: Transaction | None = None
+        self._tasks: set[asyncio.Task] = set()
+
+    @property
+    def state(self) -> str:
+        """State of the transaction as shown to the caller."""
+        if self._transaction is None:
+            return SessionState.IDLE
+        return SessionState.FAILED if self._transaction.is_failed else SessionState.OPEN
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no transaction is open."""
+        return self._transaction is None
+
+    def admit(self) -> Refusal | tuple[Route, str]:
+        """Look the database and the key up in the configuration that is in force now.
+
+        :returns: the route and the customer.
+        """
+        configuration = self._parts.view.configuration
+        route = configuration.routes.get(self._database)
+        if route is None:
+            return self._refuse(UNKNOWN_SERVICE, "no such database")
+        customer = configuration.customers.get(self._key)
+        if customer is not None:
+            return route, customer
+        if route.is_open:
+            return route, OPEN_CUSTOMER
+        code = KEY_WITHDRAWN if self._key else BAD_KEY
+        return self._refuse(code, f"the key is not in version {configuration.version}")
+
+    async def execute(self, request_id: str, statement: Statement, size_bytes: int) -> Reply:
+        """Run one statement.
+
+        :param size_bytes: length of the statement's text.
+        """
+        started_s = now_s()
+        reply = await self._execute(request_id, statement, size_bytes, started_s)
+        self._log(request_id, statement, reply, started_s)
+        return reply
+
+    def end_idle_transaction(self, idle_s: float) -> None:
+        """Roll back a transaction without a statement for so long."""
+        transaction = self._transaction
+        if transaction is not None and now_s() - transaction.used_s > idle_s:
+            transaction.abort("the transaction was idle for too long")
+
+    def close(self) -> None:
+        """End the session; an open transaction is rolled back."""
+        if self._transaction is not None:
+            self._transaction.abort("the session ended")
+            self._transaction = None
+
+    async def _execute(
+        self, request_id: str, statement: Statement, size_bytes: int, started_s: float
+    ) -> Reply:
+        if size_bytes > self._parts.view.configuration.max_statement_bytes:
+            return self._refuse(STATEMENT_TOO_LARGE, "the statement is too large")
+        if self.state == SessionState.FAILED and not isinstance(statement, Commit | Rollback):
+            return self._refuse(STATEMENT_NOT_SUPPORTED, "the transaction failed; roll it back")
+        match statement:
+            case SetValue() | Prepare() | Deallocate():
+                return self._keep(statement)
+            case Begin(is_read_only):
+                return await self._begin(is_read_only, started_s)
+            case Commit():
+                return await self._commit(request_id, statement)
+            case Rollback():
+                return self._roll_back()
+            case Read() | Write() | Execute():
+                return await self._run(request_id, statement, started_s)
+            case Unsupported():
+                return self._refuse(STATEMENT_NOT_SUPPORTED, "unknown or incomplete statement")
+
+    def _keep(self, statement: SetValue | Prepare | Deallocate) -> Reply:
+        state = self._state
+        if len(state.values) >= MAX_KEPT or len(state.prepared) >= MAX_KEPT:
+            return self._refuse(STATEMENT_NOT_SUPPORTED, "the session keeps too much")
+        match statement:
+            case SetValue(name, value):
+                state.values[name] = value
+            case Prepare(name):
+                state.prepared[name] = statement
+            case Deallocate(name):
+                state.prepared.pop(name, None)
+        return Done()
+
+    async def _operation(self, started_s: float) -> Operation | Refusal:
+        """Admit a new operation and take its rate token."""
+        if self._parts.is_stopping:
+            return self._refuse(HOST_STOPPING, "this host is stopping; use another")
+        admitted = self.admit()
+        if isinstance(admitted, Refusal):
+            return admitted
+        route, customer = admitted
+        operation = Operation(route, customer, self._state, started_s)
+        if customer == OPEN_CUSTOMER or self._parts.rates.try_acquire(customer):
+            return operation
+        deadline_s = started_s + route.target_latency_s
+        match await self._parts.rates.acquire(customer, deadline_s):
+            case Failure(refusal):
+                return refusal
+            case _:
+                return operation
+
+    async def _begin(self, is_read_only: bool, started_s: float) -> Reply:
+        if self._transaction is not None:
+            return self._refuse(STATEMENT_NOT_SUPPORTED, "a transaction is already open")
+        operation = await self._operation(started_s)
+        if isinstance(operation, Refusal):
+            return operation
+        self._transaction = Transaction(self._parts, operation, is_read_only)
+        return Done()
+
+    async def _commit(self, request_id: str, commit: Commit) -> Reply:
+        transaction = self._transaction
+        if transaction is None:
+            return self._refuse(STATEMENT_NOT_SUPPORTED, "no transaction is open")
+        try:
+            if transaction.is_failed:
+                return self._refuse(TRANSACTION_ABORTED, "the transaction had failed")
+            return await transaction.commit(request_id, commit)
+        finally:
+            self._transaction = None
+
+    def _roll_back(self) -> Reply:
+        transaction = self._transaction
+        if transaction is None:
+            return self._refuse(STATEMENT_NOT_SUPPORTED, "no transaction is open")
+        self._transaction = None
+        task = asyncio.get_running_loop().create_task(transaction.roll_back())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return Done()
+
+    async def _run(
+        self, request_id: str, statement: Read | Write | Execute, started_s: float
+    ) -> Reply:
+        work = work_of(request_id, statement, self._state.prepared)
+        if work is None:
+            return self._refuse(STATEMENT_NOT_SUPPORTED, "no such prepared name")
+        if self._transaction is not None:
+            return await self._transaction.run(work)
+        operation = await self._operation(started_s)
+        if isinstance(operation, Refusal):
+            return operation
+        return await run_single(self._parts, operation, work)
+
+    def _refuse(self, code, detail: str) -> Refusal:
+        self._parts.metrics.refusals.labels(code.label).inc()
+        return Refusal(code, detail)
+
+    def _log(self, request_id: str, statement: Statement, reply: Reply, started_s: float) -> None:
+        took_s = now_s() - started_s
+        kind = type(statement).__name__
+        self._parts.metrics.statement_seconds.labels(kind).observe(took_s)
+        outcome = "done"
+        if isinstance(reply, Refusal):
+            outcome = f"PW{reply.code.number} {reply.detail}"
+        elif not isinstance(reply, Done):
+            outcome = reply.detail
+        elif not isinstance(statement, Commit | Write | Execute | Read):
+            return
+        self._parts.log.write(
+            "statement",
+            request=request_id,
+            kind=kind,
+            database=self._database,
+            version=self._parts.view.configuration.version,
+            took_s=round(took_s, 4),
+            outcome=outcome,
+        )
--- /dev/null
+++ b/libs/sessions/src/pistachiowinch/sessions/singles.py
@@ -0,0 +1,95 @@
+"""Runs a statement outside a transaction."""
+
+from pistachiowinch.base.clock import now_s, sleep_s
+from pistachiowinch.base.codes import (
+    INTERRUPTED_NOT_RUN,
+    OUTCOME_UNKNOWN,
+    READ_INTERRUPTED,
+    Refusal,
+)
+from pistachiowinch.links.statements import Interrupted, Ran, ReasonRefused, Refused
+from pistachiowinch.sessions.borrowing import Borrowed, Placement, borrow
+from pistachiowinch.sessions.exchanges import exchange
+from pistachiowinch.sessions.parts import SessionParts
+from pistachiowinch.sessions.replies import Done, Reply
+from pistachiowinch.sessions.work import Operation, Work
+
+__all__ = ["run_single"]
+
+# More attempts of one statement than targets of a service do not help.
+MAX_ATTEMPTS = 4
+# Pause before a statement goes to the same target again.
+RETRY_PAUSE_S = 0.03
+# A read that is silent for longer than this part of its bound runs again elsewhere.
+READ_PATIENCE_PART = 0.5
+
+
+async def run_single(parts: SessionParts, operation: Operation, work: Work) -> Reply:
+    """Run one read or write; a write runs at most once.
+
+    :returns: the target's answer, or why there is none.
+    """
+    deadline_s = operation.started_s + operation.route.timeout_s
+    must_be_primary = work.is_write or operation.needs_primary
+    excluded: set[str] = set()
+    for attempt in range(MAX_ATTEMPTS):
+        placement = Placement(operation, must_be_primary, frozenset(excluded), deadline_s)
+        borrowed = await borrow(parts, placement)
+        if isinstance(borrowed, Refusal):
+            return borrowed
+        reply = await _attempt(parts, operation, work, borrowed, deadline_s)
+        if reply is not None:
+            return reply
+        parts.metrics.retries.labels("write" if work.is_write else "read").inc()
+        target = borrowed.held.target.name
+        if target in excluded or must_be_primary:
+            await sleep_s(RETRY_PAUSE_S * (attempt + 1))
+        excluded.add(target)
+        if now_s() >= deadline_s:
+            break
+    return _given_up(parts, work)
+
+
+async def _attempt(
+    parts: SessionParts, operation: Operation, work: Work, borrowed: Borrowed, deadline_s: float
+) -> Reply | None:
+    """Run once; None if the statement may run again."""
+    patience_s = operation.route.timeout_s * READ_PATIENCE_PART
+    until_s = deadline_s if work.is_write else min(deadline_s, now_s() + patience_s)
+    try:
+        outcome = await exchange(parts, borrowed, operation.state, work, borrowed.after, until_s)
+    finally:
+        parts.connections.release(borrowed.held)
+    match outcome:
+        case Ran():
+            return _ran(parts, operation, work, borrowed, outcome)
+        case Refused(reason=ReasonRefused.FAILED | ReasonRefused.TIMEOUT):
+            return outcome if work.is_write else None
+        case Refused(reason=ReasonRefused.OTHER):
+            return outcome
+        case Refused():
+            return None
+        case Interrupted(is_sent):
+            if not work.is_write or not is_sent:
+                return None
+            parts.metrics.refusals.labels(OUTCOME_UNKNOWN.label).inc()
+            return Refusal(OUTCOME_UNKNOWN, f"the write was not answered: {outcome.cause}")
+
+
+def _ran(
+    parts: SessionParts, operation: Operation, work: Work, borrowed: Borrowed, outcome: Ran
+) -> Reply:
+    if not work.is_write:
+        return Done(*outcome)
+    if not parts.may_acknowledge(operation.route.service, borrowed.epoch):
+        parts.metrics.refusals.labels(OUTCOME_UNKNOWN.label).inc()
+        return Refusal(OUTCOME_UNKNOWN, "the primary was replaced while the write ran")
+    operation.state.position = outcome.position
+    operation.state.position_epoch = borrowed.epoch
+    return Done(*outcome)
+
+
+def _given_up(parts: SessionParts, work: Work) -> Refusal:
+    code = INTERRUPTED_NOT_RUN if work.is_write else READ_INTERRUPTED
+    parts.metrics.refusals.labels(code.label).inc()
+    return Refusal(code, "no target answered; retry after 300 ms")
--- /dev/null
+++ b/libs/sessions/src/pistachiowinch/sessions/site.py
@@ -0,0 +1,180 @@
+"""What a host knows of its site: routes, customers, services and targets."""
+
+import enum
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+from pistachiowinch.base.clock import now_s
+from pistachiowinch.base.decisions import DecisionLog
+from pistachiowinch.limits.bucket import RateLimit
+
+__all__ = [
+    "EMPTY_CONFIGURATION",
+    "LEAVING_USE_S",
+    "Consistency",
+    "Route",
+    "ServiceLimits",
+    "SiteConfiguration",
+    "SiteView",
+    "Target",
+]
+
+# A leaving target takes new work for this long, until its successor leads. New work after 5 s
+# would break the bounds of evacuated zones.
+LEAVING_USE_S = 3.0
+
+
+class Consistency(enum.Enum):
+    """What a read of a route must see."""
+
+    PRIMARY = "primary"
+    BOUNDED = "bounded"
+    READ_YOUR_WRITES = "read_your_writes"
+
+
+class Route(NamedTuple):
+    """How callers of one database are served.
+
+    :param database: name that callers connect to.
+    :param service: database group that serves it.
+    :param timeout_s: bound for one statement.
+    :param target_latency_s: time in which a whole operation should be answered.
+    :param priority: 0 is served first.
+    :param max_staleness_s: age of commits that a read may lack; 0 if it may lack none.
+    :param is_open: whether callers need no key.
+    """
+
+    database: str
+    service: str
+    consistency: Consistency
+    timeout_s: float
+    target_latency_s: float
+    priority: int
+    max_staleness_s: float
+    is_open: bool
+
+
+class ServiceLimits(NamedTuple):
+    """Limits of one database group.
+
+    :param max_connections: connections that a target accepts from all hosts together.
+    """
+
+    service: str
+    max_connections: int
+
+
+class SiteConfiguration(NamedTuple):
+    """One version of the operators' configuration.
+
+    :param customers: by key.
+    :param rates: by customer.
+    :param transaction_idle_s: an open transaction may be ended after so long without a statement.
+    """
+
+    version: int
+    routes: Mapping[str, Route]
+    customers: Mapping[str, str]
+    rates: Mapping[str, RateLimit]
+    services: Mapping[str, ServiceLimits]
+    transaction_idle_s: float
+    max_statement_bytes: int
+
+
+EMPTY_CONFIGURATION = SiteConfiguration(-1, {}, {}, {}, {}, 3.0, 262_144)
+
+
+class Target(NamedTuple):
+    """One registered target.
+
+    :param claims_primary: its own view, which may be out of date.
+    :param born_ms: start of its process; tells a restarted target from its predecessor.
+    """
+
+    name: str
+    service: str
+    address: str
+    availability_zone: str
+    slots: int
+    is_leaving: bool
+    claims_primary: bool
+    born_ms: int
+
+
+class SiteView:
+    """The configuration and the targets in force at this host.
+
+    :param log: decisions of this part.
+    """
+
+    def __init__(self, log: DecisionLog) -> None:
+        """Create a view without configuration and targets."""
+        self._log = log
+        self._targets: dict[str, dict[str, Target]] = {}
+        self._evacuated: frozenset[str] = frozenset()
+        self._leaving_since_s: dict[str, float] = {}
+        self.configuration = EMPTY_CONFIGURATION
+
+    def set_configuration(self, configuration: SiteConfiguration, source: str) -> bool:
+        """Take a newer version; an older one never comes back into force.
+
+        :param source: where it came from, for the log.
+        """
+        if configuration.version <= self.configuration.version:
+            return False
+        self.configuration = configuration
+        self._log.write("configuration", version=configuration.version, source=source)
+        return True
+
+    def set_targets(self, targets: Iterable[Target]) -> None:
+        """Replace all targets."""
+        found: dict[str, dict[str, Target]] = {}
+        for target in targets:
+            found.setdefault(target.service, {})[target.name] = target
+        before = {t.name: t for group in self._targets.values() for t in group.values()}
+        after = {t.name: t for group in found.values() for t in group.values()}
+        for name in before.keys() ^ after.keys():
+            target = after.get(name) or before[name]
+            event = "target_added" if name in after else "target_gone"
+            self._log.write(event, target=name, service=target.service)
+        self._targets = found
+        self._refresh_leaving()
+
+    def set_evacuated(self, zones: frozenset[str]) -> None:
+        """Replace the availability zones that operators have taken out."""
+        if zones != self._evacuated:
+            self._evacuated = zones
+            self._log.write("evacuated", zones=sorted(zones))
+            self._refresh_leaving()
+
+    def targets(self, service: str) -> Mapping[str, Target]:
+        """Return a service's targets by name."""
+        return self._targets.get(service, {})
+
+    @property
+    def services(self) -> tuple[str, ...]:
+        """Services that have targets."""
+        return tuple(self._targets)
+
+    def is_leaving(self, target: str) -> bool:
+        """Whether a target is about to end or its availability zone was taken out."""
+        return target in self._leaving_since_s
+
+    def may_use(self, target: str) -> bool:
+        """Whether new work may still be sent to a target that may be leaving."""
+        since_s = self._leaving_since_s.get(target)
+        return since_s is None or now_s() - since_s < LEAVING_USE_S
+
+    def _refresh_leaving(self) -> None:
+        leaving = {
+            target.name
+            for group in self._targets.values()
+            for target in group.values()
+            if target.is_leaving or target.availability_zone in self._evacuated
+        }
+        at_s = now_s()
+        for name in leaving - self._leaving_since_s.keys():
+            self._log.write("target_leaving", target=name)
+        self._leaving_since_s = {
+            name: self._leaving_since_s.get(name, at_s) for name in sorted(leaving)
+        }
