Test sessions over a fake group; wake requests when a paused target may be used again

Cause: a request that waited for a target which had answered BUSY was woken by nothing and was refused at its deadline (found by tests/sessions). Pauses now end with a timer of their own.

--- a/Makefile
+++ b/Makefile
@@ -2,17 +2,17 @@
 VENV ?= .venv
 STAMP = $(VENV)/installed
 LIBRARIES = base links store peering configuration limits groups routing targets gateway \
-	proxy standins measure model operations
-SOURCES = libs tests
+	proxy standins measure model operations sessions fleet
+SOURCES = libs platform tests
 PYTEST_OPTIONS ?=
 
 .PHONY: demo test format lint
 
-$(STAMP): requirements.txt constraints.txt $(wildcard libs/*/pyproject.toml)
+$(STAMP): requirements.txt constraints.txt $(wildcard libs/*/pyproject.toml) platform/pyproject.toml
 	test -x $(VENV)/bin/python || $(PYTHON) -m venv $(VENV)
 	$(VENV)/bin/python -m pip install --quiet -r requirements.txt -c constraints.txt
 	$(VENV)/bin/python -m pip install --quiet --no-deps --no-build-isolation \
-		$(foreach library,$(LIBRARIES),-e libs/$(library))
+		$(foreach library,$(LIBRARIES),-e libs/$(library)) -e platform
 	touch $(STAMP)
 
 demo: $(STAMP)
--- a/libs/sessions/src/pistachiowinch/sessions/connections.py
+++ b/libs/sessions/src/pistachiowinch/sessions/connections.py
@@ -172,6 +172,11 @@
         for service in tuple(self._waiters):
             self._wake(service)
 
+    def pause(self, target: Target, pause_s: float) -> None:
+        """Use a target for no request for a while, because it refused one."""
+        self._health.note_refused(target.name, pause_s)
+        asyncio.get_running_loop().call_later(pause_s, self._wake, target.service)
+
     def waiting(self, service: str) -> int:
         """Number of requests that wait for a connection of a service."""
         return len(self._waiters.get(service, ()))
@@ -246,12 +251,10 @@
         match error.reason:
             case None | ReasonRefused.WRONG_TARGET:
                 self._health.note_failure(target.name, str(error))
-                self._health.note_refused(target.name)
             case _:
-                self._health.note_refused(target.name)
+                self._health.note_alive(target.name)
         self._log.write("connection_refused", target=target.name, cause=str(error)[:80])
-        loop = asyncio.get_running_loop()
-        loop.call_later(REFUSED_PAUSE_S, self._wake, target.service)
+        self.pause(target, REFUSED_PAUSE_S)
 
     def _unreserve(self, target: Target) -> None:
         pool = self._pools.get(target.name)
--- a/libs/sessions/src/pistachiowinch/sessions/exchanges.py
+++ b/libs/sessions/src/pistachiowinch/sessions/exchanges.py
@@ -16,6 +16,9 @@
 
 __all__ = ["exchange"]
 
+# A target whose queue is full has served some of it after this time.
+BUSY_PAUSE_S = 0.04
+
 
 async def exchange(
     parts: SessionParts,
@@ -78,7 +81,7 @@
             held.prepared.clear()
         case Refused(reason=ReasonRefused.BUSY):
             parts.health.note_alive(target)
-            parts.health.note_refused(target)
+            parts.connections.pause(held.target, BUSY_PAUSE_S)
         case Refused():
             parts.health.note_alive(target)
         case Interrupted(_, cause):
--- a/libs/sessions/src/pistachiowinch/sessions/health.py
+++ b/libs/sessions/src/pistachiowinch/sessions/health.py
@@ -14,6 +14,7 @@
 SLOW_EXCHANGE_S = 0.35
 # A target that refused to open connections is asked again after this time.
 REFUSED_PAUSE_S = 0.15
+CLOCK_RESOLUTION_S = 1e-3
 # A replica that lacked a position is tried again after this time.
 LAGGING_PAUSE_S = 0.25
 # Weight of the newest answer in the mean answer time.
@@ -93,9 +94,9 @@
         if state.failures == SUSPECT_FAILURES:
             self._log.write("target_suspected", target=target, cause=cause)
 
-    def note_refused(self, target: str) -> None:
-        """Note that the target accepts no more connections or work for now."""
-        self._state(target).paused_until_s = now_s() + REFUSED_PAUSE_S
+    def note_refused(self, target: str, pause_s: float) -> None:
+        """Note that the target accepts no more connections or work for so long."""
+        self._state(target).paused_until_s = now_s() + pause_s
 
     def note_lagging(self, target: str, position: Position | None) -> None:
         """Note that the target lacked a position that a read needed."""
@@ -124,7 +125,8 @@
     def is_paused(self, target: str) -> bool:
         """Whether the target refused connections or work a moment ago."""
         state = self._states.get(target)
-        return state is not None and now_s() < state.paused_until_s
+        # A timer may fire one clock resolution early.
+        return state is not None and now_s() < state.paused_until_s - CLOCK_RESOLUTION_S
 
     def is_lagging(self, target: str, required: Position) -> bool:
         """Whether the target lacked this position a moment ago."""
--- a/libs/sessions/src/pistachiowinch/sessions/session.py
+++ b/libs/sessions/src/pistachiowinch/sessions/session.py
@@ -159,6 +159,7 @@
         deadline_s = started_s + route.target_latency_s
         match await self._parts.rates.acquire(customer, deadline_s):
             case Failure(refusal):
+                self._parts.log.write("rate_refused", customer=customer)
                 return refusal
             case _:
                 return operation
--- /dev/null
+++ b/tests/sessions/test_session.py
@@ -0,0 +1,308 @@
+"""Sessions over a fake database group: who may run a statement, and what callers are told."""
+
+import asyncio
+
+import pytest
+from sessions.fake_group import SERVICE, World
+
+from pistachiowinch.base import codes
+from pistachiowinch.base.codes import Refusal
+from pistachiowinch.links.statements import (
+    Begin,
+    Commit,
+    Execute,
+    Prepare,
+    Read,
+    ReasonRefused,
+    Refused,
+    Rollback,
+    SetValue,
+    Write,
+)
+from pistachiowinch.sessions.replies import Done
+from pistachiowinch.sessions.session import Session
+
+pytestmark = pytest.mark.looptime
+
+READ = Read("READ 1")
+WRITE = Write("WRITE 1 x")
+COMMIT = Commit("COMMIT")
+
+
+class Caller:
+    """A session that numbers its statements."""
+
+    def __init__(self, world: World, database: str, key: str = "key") -> None:
+        """Open a session."""
+        self.session = Session(world.parts, database, key)
+        self.number = 0
+        self.name = f"{database}-{key}"
+
+    async def __call__(self, statement):
+        """Run one statement."""
+        self.number += 1
+        return await self.session.execute(f"{self.name}-{self.number}", statement, 10)
+
+
+def code(reply):
+    """Return a refusal's code."""
+    assert isinstance(reply, Refusal), reply
+    return reply.code
+
+
+async def test_reads_go_to_replicas_that_have_the_position():
+    """STALE and replica share: bounded reads must leave the primary alone when replicas can serve."""
+    world = World()
+    await world.observe()
+    caller = Caller(world, "bounded")
+    assert isinstance(await caller(READ), Done)
+    assert not world.primary.runs
+
+
+async def test_a_lagging_replica_never_answers():
+    """STALE: a replica without the required position must not run the read."""
+    world = World()
+    world.primary.applied = 7
+    await world.observe()
+    caller = Caller(world, "bounded")
+    assert isinstance(await caller(READ), Done)
+    assert not any(replica.runs for replica in world.replicas)
+    assert [run[0] for run in world.primary.runs] == ["read"]
+
+
+async def test_a_read_without_a_known_position_goes_to_the_primary():
+    """STALE: without a fresh observation no position proves that a replica is new enough."""
+    world = World()
+    assert isinstance(await Caller(world, "bounded")(READ), Done)
+    assert world.primary.runs
+
+
+async def test_a_session_reads_its_own_write():
+    """STALE on read_your_writes: the session's own commit is required beside the bound."""
+    world = World()
+    await world.observe()
+    caller = Caller(world, "read_your_writes")
+    await caller(WRITE)
+    await caller(READ)
+    assert [run[0] for run in world.primary.runs] == ["write", "read"]
+    other = Caller(world, "read_your_writes", "key2")
+    await other(READ)
+    assert any(replica.runs for replica in world.replicas)
+
+
+async def test_primary_routes_never_read_from_replicas():
+    """STALE on primary routes: any commit counts, which only the primary is sure to have."""
+    world = World()
+    await world.observe()
+    await Caller(world, "primary")(READ)
+    assert not any(replica.runs for replica in world.replicas)
+
+
+async def test_without_proof_nothing_is_sent_to_the_primary():
+    """ONE and STALE: a host that cannot prove who leads must refuse, at once and truthfully."""
+    world = World()
+    world.is_proved = False
+    reply = await Caller(world, "primary")(WRITE)
+    assert code(reply) is codes.HOST_ISOLATED
+    assert not world.primary.runs
+
+
+async def test_without_proof_bounded_reads_go_on_while_the_position_is_fresh():
+    """Store and peers away: replicas still serve until the observation is too old."""
+    world = World()
+    await world.observe()
+    world.is_proved = False
+    caller = Caller(world, "bounded")
+    assert isinstance(await caller(READ), Done)
+    await asyncio.sleep(2.1)
+    assert code(await caller(READ)) is codes.HOST_ISOLATED
+
+
+async def test_a_write_without_an_answer_is_in_doubt_and_never_sent_again():
+    """TWICE: the write may have run, so it must not run a second time."""
+    world = World()
+    world.primary.lose_answers = 1
+    reply = await Caller(world, "primary")(WRITE)
+    assert code(reply) is codes.OUTCOME_UNKNOWN
+    assert len(world.primary.runs) == 1
+
+
+async def test_a_read_without_an_answer_runs_elsewhere():
+    """A lost answer to a read costs time but no failure."""
+    world = World()
+    await world.observe()
+    for replica in world.replicas[:1]:
+        replica.lose_answers = 1
+    replies = [await Caller(world, "bounded")(READ) for _ in range(2)]
+    assert all(isinstance(reply, Done) for reply in replies)
+
+
+async def test_a_busy_target_did_not_run_the_write_so_it_goes_again():
+    """A promise of the target that nothing ran allows another attempt."""
+    world = World()
+    world.primary.refuse = [ReasonRefused.BUSY]
+    assert isinstance(await Caller(world, "primary")(WRITE), Done)
+    assert [run[0] for run in world.primary.runs] == ["write"]
+
+
+async def test_a_failed_write_is_passed_on():
+    """FAILED says that the write ran; only the caller may decide what follows."""
+    world = World()
+    world.primary.refuse = [ReasonRefused.FAILED]
+    reply = await Caller(world, "primary")(WRITE)
+    assert isinstance(reply, Refused)
+
+
+async def test_a_commit_acknowledged_after_a_switch_is_in_doubt():
+    """ONE: an old primary's commit must not be reported as kept after another one leads."""
+    world = World()
+    world.primary.work_s = 0.1
+    caller = Caller(world, "primary")
+    task = asyncio.ensure_future(caller(WRITE))
+    await asyncio.sleep(0.05)
+    world.primaries.number = 1
+    world.primaries.name = "b"
+    assert code(await task) is codes.OUTCOME_UNKNOWN
+
+
+async def test_a_transaction_stays_on_one_connection():
+    """PINNED: all statements of a transaction run on the connection that began it."""
+    world = World()
+    caller, other = Caller(world, "primary"), Caller(world, "primary", "key2")
+    await caller(Begin(False))
+    await caller(WRITE)
+    await other(Begin(False))
+    await other(WRITE)
+    await caller(WRITE)
+    await caller(COMMIT)
+    await other(COMMIT)
+    commits = [run for run in world.primary.runs if run[0] == "commit"]
+    assert [len(run[2]) for run in commits] == [2, 1]
+    assert [run[3] for run in commits] == ["carp", "weld"]
+
+
+async def test_an_interrupted_transaction_is_rolled_back_and_says_so():
+    """REFUSED: ABORTED promises that nothing is kept, so the connection must be closed."""
+    world = World()
+    caller = Caller(world, "primary")
+    await caller(Begin(False))
+    await caller(WRITE)
+    world.primary.lose_answers = 1
+    assert code(await caller(WRITE)) is codes.TRANSACTION_ABORTED
+    assert caller.session.state == "E"
+    assert code(await caller(READ)) is codes.STATEMENT_NOT_SUPPORTED
+    assert isinstance(await caller(Rollback()), Done)
+    assert caller.session.state == "I"
+    assert world.primary.connections == 0
+
+
+async def test_a_lost_commit_of_writes_is_in_doubt():
+    """REFUSED and TWICE: the transaction may be kept, so nothing may be promised."""
+    world = World()
+    caller = Caller(world, "primary")
+    await caller(Begin(False))
+    await caller(WRITE)
+    world.primary.lose_answers = 1
+    assert code(await caller(COMMIT)) is codes.OUTCOME_UNKNOWN
+
+
+async def test_values_of_one_session_never_reach_another():
+    """PINNED: a pooled connection must carry exactly the session's values."""
+    world = World(share=1)
+    first, second = Caller(world, "primary"), Caller(world, "primary")
+    await first(SetValue("zone", "Cluj"))
+    await first(SetValue("unit", "mm"))
+    await first(READ)
+    await second(SetValue("zone", "Turda"))
+    await second(READ)
+    await first(READ)
+    values = [run[2] for run in world.primary.runs]
+    first_values = {"zone": "Cluj", "unit": "mm"}
+    assert values == [first_values, {"zone": "Turda"}, first_values]
+
+
+async def test_prepared_names_of_two_sessions_do_not_collide():
+    """PINNED: the same name stands for each session's own shape."""
+    world = World(share=1)
+    first, second = Caller(world, "primary"), Caller(world, "primary")
+    await first(Prepare("s1", False, "shape one"))
+    await second(Prepare("s1", True, "shape two"))
+    await first(Execute("s1", "1"))
+    await second(Execute("s1", "1 x"))
+    await first(Execute("s1", "1"))
+    shapes = [(run[0], run[4]) for run in world.primary.runs]
+    assert shapes == [("read", "shape one"), ("write", "shape two"), ("read", "shape one")]
+
+
+async def test_an_unknown_prepared_name_is_refused():
+    """A name that the caller never prepared must not reach a target."""
+    world = World()
+    assert code(await Caller(world, "primary")(Execute("s9", "1"))) is codes.STATEMENT_NOT_SUPPORTED
+
+
+async def test_connections_belong_to_one_customer():
+    """UNASKED: a statement must never run under another customer's name."""
+    world = World(share=1)
+    for _ in range(2):
+        await Caller(world, "primary")(READ)
+        await Caller(world, "primary", "key2")(READ)
+    assert [run[3] for run in world.primary.runs] == ["carp", "weld", "carp", "weld"]
+    assert world.primary.connections == 1
+
+
+async def test_a_withdrawn_key_stops_an_open_session():
+    """CONFIG: the key is looked up for each operation, not only when the session begins."""
+    world = World()
+    caller = Caller(world, "primary")
+    assert isinstance(await caller(READ), Done)
+    world.configure(2, keys=("key2",))
+    assert code(await caller(READ)) is codes.KEY_WITHDRAWN
+
+
+async def test_an_older_configuration_never_comes_back():
+    """CONFIG: a late answer of the store must not undo a newer version."""
+    world = World()
+    world.configure(3, keys=("key2",))
+    world.configure(2)
+    assert code(await Caller(world, "primary")(READ)) is codes.KEY_WITHDRAWN
+
+
+async def test_a_customer_beyond_its_rate_is_refused_before_any_target():
+    """QUOTA: what is refused must not have reached a target."""
+    world = World()
+    world.rates.left = 0
+    world.rates.left = -1
+    assert code(await Caller(world, "primary")(WRITE)) is codes.RATE_EXCEEDED
+    assert not world.primary.runs
+
+
+async def test_draining_waits_for_work_and_ends_transactions():
+    """ONE: a switch may go on only when nothing of this host is under way at the old primary."""
+    world = World()
+    caller = Caller(world, "primary")
+    await caller(Begin(False))
+    await caller(WRITE)
+    assert await world.work.drain(SERVICE, 0.5, 1.0)
+    assert code(await caller(COMMIT)) is codes.TRANSACTION_ABORTED
+    assert not any(run[0] == "commit" for run in world.primary.runs)
+
+
+async def test_a_leaving_target_gets_no_new_work_after_a_while():
+    """DRAIN and EVAC: a target that announced its end must not be used for long."""
+    world = World()
+    world.register(frozenset({"a", "b"}))
+    await world.observe()
+    await asyncio.sleep(3.1)
+    await world.observe()
+    assert isinstance(await Caller(world, "bounded")(READ), Done)
+    assert not world.replicas[0].runs
+    assert isinstance(await Caller(world, "primary")(WRITE), Refusal)
+
+
+async def test_more_sessions_than_connections_all_get_answers():
+    """Load: 60 sessions of two customers share four connections, and nobody is refused."""
+    world = World(share=4)
+    callers = [Caller(world, "primary", key) for key in ("key", "key2") for _ in range(30)]
+    replies = await asyncio.gather(*(caller(READ) for caller in callers))
+    assert all(isinstance(reply, Done) for reply in replies)
+    assert world.primary.connections <= 4
