--- a/libs/fleet/src/pistachiowinch/fleet/registration.py
+++ b/libs/fleet/src/pistachiowinch/fleet/registration.py
@@ -32,11 +32,20 @@
 
     :param store: the store.
     :param record: this host.
+    :param on_succession: called if a previous run of this host still counts at its peers.
     :param log: decisions of this part.
     """
 
-    def __init__(self, store: PollingStore, record: HostRecord, log: DecisionLog) -> None:
+    def __init__(
+        self,
+        store: PollingStore,
+        record: HostRecord,
+        on_succession: Callable[[], None],
+        log: DecisionLog,
+    ) -> None:
         """Create a registration that is not made yet."""
+        self._on_succession = on_succession
+        self._is_first = True
         self._store = store
         self._record = record
         self._log = log
@@ -66,6 +75,11 @@
                 return
             self._log.write("lease_lapsed", lease=self._lease)
             self._lease = NO_LEASE
+        if self._is_first:
+            previous = await self._store.get(host_key(self._record.host))
+            self._is_first = False
+            if previous is not None:
+                self._on_succession()
         lease = await self._store.grant_lease(LEASE_S)
         record = Put(host_key(self._record.host), encode_record(self._record), lease)
         await self._store.transact([], [record])
--- a/libs/limits/src/pistachiowinch/limits/bucket.py
+++ b/libs/limits/src/pistachiowinch/limits/bucket.py
@@ -156,6 +156,11 @@
         if self._borrowed:
             self._expire_borrowed(now_s)
 
+    def generate_since(self, since_s: float, now_s: float) -> None:
+        """Replace the own tokens by what this part has generated since an earlier time."""
+        self.level = min((now_s - since_s) * self.generation_per_s, self.capacity)
+        self._updated_s = now_s
+
     def try_take(self, now_s: float) -> bool:
         """Spend one token if there is one, borrowed ones first because they expire."""
         self.advance(now_s)
--- a/libs/limits/src/pistachiowinch/limits/rates.py
+++ b/libs/limits/src/pistachiowinch/limits/rates.py
@@ -203,6 +203,7 @@
         self._silent: dict[str, _Silence] = {}
         self._wasteful: dict[str, _Silence] = {}
         self._last_tick_s: float | None = None
+        self._owned_since_s: float | None = None
         self._tasks: set[asyncio.Task] = set()
         # Numbers of a previous run must not match those of this one.
         self._next_number = random.SystemRandom().getrandbits(46) | 1 << 46
@@ -238,6 +239,16 @@
         for state in self._customers.values():
             state.bucket.configure(state.bucket.limit, share, now_s())
 
+    def resume(self, since_s: float) -> None:
+        """Take over the parts of this host's previous run, which ended before a time.
+
+        Nobody else generated tokens from these parts since then, and the previous run's own are
+        gone, so the part of each rate since that time can be spent.
+
+        :param since_s: loop time at which this run was started.
+        """
+        self._owned_since_s = since_s
+
     def set_peers(self, peers: Sequence[str]) -> None:
         """Set the hosts that are asked for tokens.
 
@@ -645,6 +656,10 @@
         self._last_tick_s = at_s
         if self._read_share is not None:
             self.set_share(self._read_share())
+        if self._owned_since_s is not None and self._share > 0.0 and self._customers:
+            for state in self._customers.values():
+                state.bucket.generate_since(self._owned_since_s, at_s)
+            self._owned_since_s = None
         for state in tuple(self._customers.values()):
             self._tidy(state, at_s)
 
--- a/libs/sessions/src/pistachiowinch/sessions/session.py
+++ b/libs/sessions/src/pistachiowinch/sessions/session.py
@@ -39,6 +39,8 @@
 
 # Customer of callers of open routes that send no key.
 OPEN_CUSTOMER = ""
+# A caller that gets no token within this part of its aim is better served by an early refusal.
+RATE_WAIT_PART = 0.25
 # Bounds the memory of one session.
 MAX_KEPT = 256
 
@@ -156,7 +158,7 @@
         operation = Operation(route, customer, self._state, started_s)
         if customer == OPEN_CUSTOMER or self._parts.rates.try_acquire(customer):
             return operation
-        deadline_s = started_s + route.target_latency_s
+        deadline_s = started_s + route.target_latency_s * RATE_WAIT_PART
         match await self._parts.rates.acquire(customer, deadline_s):
             case Failure(refusal):
                 self._parts.log.write("rate_refused", customer=customer)
