Refund rate tokens of operations that reached no target; suspect unreachable targets sooner

Cause 1: during a switch each refused retry spent a token, so customers below their rate were refused (27 of 27/s spent with 15/s wanted). Cause 2: a dark primary was suspected after 1.25 s.

--- a/libs/fleet/src/pistachiowinch/fleet/currency.py
+++ b/libs/fleet/src/pistachiowinch/fleet/currency.py
@@ -12,7 +12,7 @@
 __all__ = ["PROOF_S", "CurrencyProof", "proved_by_majority"]
 
 # Several heartbeats of 0.2 s may be lost; a promotion waits this long for hosts that are silent.
-PROOF_S = 1.2
+PROOF_S = 1.0
 
 
 def proved_by_majority(voters: frozenset[str], contacts: frozenset[str]) -> bool:
--- a/libs/limits/src/pistachiowinch/limits/bucket.py
+++ b/libs/limits/src/pistachiowinch/limits/bucket.py
@@ -169,6 +169,11 @@
         self.level = max(self.level - (1.0 - self._use(1.0)), 0.0)
         return True
 
+    def refund(self, now_s: float) -> None:
+        """Take one unspent token back, as far as this host's part of the burst has room."""
+        self.advance(now_s)
+        self.level += min(1.0, self.room)
+
     def lend(self, borrower: str, loan: int, amount: float, now_s: float) -> float:
         """Debit tokens for a loan.
 
--- a/libs/limits/src/pistachiowinch/limits/rates.py
+++ b/libs/limits/src/pistachiowinch/limits/rates.py
@@ -298,6 +298,13 @@
             return self._refuse("the customer has spent its rate on all hosts")
         return await self._wait(state, min(arrived_s + WAIT_S, deadline_s))
 
+    def refund(self, customer: str) -> None:
+        """Give back a token that was taken for a request which reached no target."""
+        state = self._customers.get(customer)
+        if state is not None and not state.is_removed:
+            state.bucket.refund(now_s())
+            self._serve(state)
+
     async def return_loans(self) -> None:
         """Give all borrowed tokens back, for a planned stop."""
         for state in self._customers.values():
--- a/libs/links/src/pistachiowinch/links/statements.py
+++ b/libs/links/src/pistachiowinch/links/statements.py
@@ -214,12 +214,16 @@
     """A connection was refused or could not be opened.
 
     :param reason: the target's answer; None if it did not answer.
+    :param is_reached: whether its machine accepted the connection, so that it may only be busy.
     """
 
-    def __init__(self, detail: str, reason: ReasonRefused | None = None) -> None:
+    def __init__(
+        self, detail: str, reason: ReasonRefused | None = None, is_reached: bool = False
+    ) -> None:
         """Create the error."""
         super().__init__(detail)
         self.reason = reason
+        self.is_reached = is_reached
 
 
 class StatementConnection(Protocol):
--- a/libs/sessions/src/pistachiowinch/sessions/exchanges.py
+++ b/libs/sessions/src/pistachiowinch/sessions/exchanges.py
@@ -12,7 +12,7 @@
 from pistachiowinch.sessions.alignment import align
 from pistachiowinch.sessions.borrowing import Borrowed
 from pistachiowinch.sessions.parts import SessionParts
-from pistachiowinch.sessions.work import CallerState, Work
+from pistachiowinch.sessions.work import Operation, Work
 
 __all__ = ["exchange"]
 
@@ -23,13 +23,14 @@
 async def exchange(
     parts: SessionParts,
     borrowed: Borrowed,
-    state: CallerState,
+    operation: Operation,
     work: Work,
     after: Position | None,
     deadline_s: float,
 ) -> StatementOutcome:
     """Align the connection with the session and run one statement.
 
+    :param operation: what the statement belongs to; its rate token counts as spent.
     :param after: position that the target must have.
     :param deadline_s: loop time at which the target counts as silent.
     :returns: the target's outcome; Interrupted with ``is_sent`` false if the statement never left.
@@ -40,7 +41,7 @@
     if borrowed.is_primary:
         parts.work.begin_exchange(service)
     try:
-        aligned = await align(held, state.values, work.shape, deadline_s)
+        aligned = await align(held, operation.state.values, work.shape, deadline_s)
         if not isinstance(aligned, Ran):
             held.connection.close()
             parts.health.note_failure(held.target.name, "session state was not taken")
@@ -49,6 +50,7 @@
             return Interrupted(False, "the primary changed")
         sent_s = now_s()
         left_s = max(deadline_s - sent_s, 0.001)
+        operation.usage.is_spent = True
         outcome = await held.connection.run(work.request_id, work.statement, after, left_s)
         _learn(parts, borrowed, outcome, sent_s, work)
         return outcome
--- a/libs/sessions/src/pistachiowinch/sessions/health.py
+++ b/libs/sessions/src/pistachiowinch/sessions/health.py
@@ -11,7 +11,7 @@
 # One failed exchange may be a lost answer; two in a row without a success are not.
 SUSPECT_FAILURES = 2
 # An exchange without an answer for this long is a reason to look whether the target is alive.
-SLOW_EXCHANGE_S = 0.35
+SLOW_EXCHANGE_S = 0.25
 # A target that refused to open connections is asked again after this time.
 REFUSED_PAUSE_S = 0.15
 CLOCK_RESOLUTION_S = 1e-3
@@ -85,6 +85,15 @@
             self._log.write("target_answers_again", target=target)
         state.failures = 0
 
+    def note_unreachable(self, target: str, cause: str) -> None:
+        """Note a probe that did not even open a connection to a target which left work unanswered.
+
+        This is the second sign, so the target is suspected at once.
+        """
+        state = self._state(target)
+        state.failures = max(state.failures, SUSPECT_FAILURES - 1)
+        self.note_failure(target, cause)
+
     def note_failure(self, target: str, cause: str) -> None:
         """Note an exchange or a connection that the target did not answer."""
         state = self._state(target)
--- a/libs/sessions/src/pistachiowinch/sessions/parts.py
+++ b/libs/sessions/src/pistachiowinch/sessions/parts.py
@@ -40,6 +40,9 @@
     async def acquire(self, customer: str, deadline_s: float) -> Result[None, Refusal]:
         """Take one token, waiting for a borrow round at most."""
 
+    def refund(self, customer: str) -> None:
+        """Give back a token that was taken and not spent."""
+
 
 @dataclass
 class SessionParts:
--- a/libs/sessions/src/pistachiowinch/sessions/probing.py
+++ b/libs/sessions/src/pistachiowinch/sessions/probing.py
@@ -11,7 +11,7 @@
 
 PROBE_EVERY_S = 0.1
 # A busy target greets after its queue; a dark one never does.
-PROBE_TIMEOUT_S = 0.3
+PROBE_TIMEOUT_S = 0.25
 
 
 class TargetProber:
@@ -53,10 +53,12 @@
                 target.service, target.name, target.address, "", PROBE_TIMEOUT_S
             )
         except TargetRefused as error:
-            if error.reason is None:
+            if error.reason is not None:
+                self._health.note_alive(target.name)
+            elif error.is_reached:
                 self._health.note_failure(target.name, f"probe: {error}")
             else:
-                self._health.note_alive(target.name)
+                self._health.note_unreachable(target.name, f"probe: {error}")
             return
         connection.close()
         self._health.note_alive(target.name)
--- a/libs/sessions/src/pistachiowinch/sessions/session.py
+++ b/libs/sessions/src/pistachiowinch/sessions/session.py
@@ -33,7 +33,7 @@
 from pistachiowinch.sessions.singles import run_single
 from pistachiowinch.sessions.site import Route
 from pistachiowinch.sessions.transactions import Transaction
-from pistachiowinch.sessions.work import CallerState, Operation, work_of
+from pistachiowinch.sessions.work import CallerState, Operation, Usage, work_of
 
 __all__ = ["OPEN_CUSTOMER", "Session"]
 
@@ -111,7 +111,7 @@
         """End the session; an open transaction is rolled back."""
         if self._transaction is not None:
             self._transaction.abort("the session ended")
-            self._transaction = None
+            self._end_transaction()
 
     async def _execute(
         self, request_id: str, statement: Statement, size_bytes: int, started_s: float
@@ -155,7 +155,7 @@
         if isinstance(admitted, Refusal):
             return admitted
         route, customer = admitted
-        operation = Operation(route, customer, self._state, started_s)
+        operation = Operation(route, customer, self._state, started_s, Usage())
         if customer == OPEN_CUSTOMER or self._parts.rates.try_acquire(customer):
             return operation
         deadline_s = started_s + route.target_latency_s * RATE_WAIT_PART
@@ -183,13 +183,13 @@
                 return self._refuse(TRANSACTION_ABORTED, "the transaction had failed")
             return await transaction.commit(request_id, commit)
         finally:
-            self._transaction = None
+            self._end_transaction()
 
     def _roll_back(self) -> Reply:
         transaction = self._transaction
         if transaction is None:
             return self._refuse(STATEMENT_NOT_SUPPORTED, "no transaction is open")
-        self._transaction = None
+        self._end_transaction()
         task = asyncio.get_running_loop().create_task(transaction.roll_back())
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -206,7 +206,20 @@
         operation = await self._operation(started_s)
         if isinstance(operation, Refusal):
             return operation
-        return await run_single(self._parts, operation, work)
+        try:
+            return await run_single(self._parts, operation, work)
+        finally:
+            self._refund(operation)
+
+    def _end_transaction(self) -> None:
+        if self._transaction is not None:
+            self._refund(self._transaction.operation)
+        self._transaction = None
+
+    def _refund(self, operation: Operation) -> None:
+        """Give the rate token of an operation back that reached no target."""
+        if not operation.usage.is_spent and operation.customer != OPEN_CUSTOMER:
+            self._parts.rates.refund(operation.customer)
 
     def _refuse(self, code, detail: str) -> Refusal:
         self._parts.metrics.refusals.labels(code.label).inc()
--- a/libs/sessions/src/pistachiowinch/sessions/singles.py
+++ b/libs/sessions/src/pistachiowinch/sessions/singles.py
@@ -57,7 +57,7 @@
     patience_s = operation.route.timeout_s * READ_PATIENCE_PART
     until_s = deadline_s if work.is_write else min(deadline_s, now_s() + patience_s)
     try:
-        outcome = await exchange(parts, borrowed, operation.state, work, borrowed.after, until_s)
+        outcome = await exchange(parts, borrowed, operation, work, borrowed.after, until_s)
     finally:
         parts.connections.release(borrowed.held)
     match outcome:
--- a/libs/sessions/src/pistachiowinch/sessions/transactions.py
+++ b/libs/sessions/src/pistachiowinch/sessions/transactions.py
@@ -43,7 +43,7 @@
     def __init__(self, parts: SessionParts, operation: Operation, is_read_only: bool) -> None:
         """Create a transaction that no target knows yet."""
         self._parts = parts
-        self._operation = operation
+        self.operation = operation
         self._is_read_only = is_read_only
         self._borrowed: Borrowed | None = None
         self._has_written = False
@@ -58,7 +58,7 @@
     async def run(self, work: Work) -> Reply:
         """Run one statement; after any failure nothing of the transaction is kept."""
         self.used_s = now_s()
-        deadline_s = now_s() + self._operation.route.timeout_s
+        deadline_s = now_s() + self.operation.route.timeout_s
         refusal = await self._ensure_begun(deadline_s)
         if refusal is not None:
             return refusal
@@ -73,7 +73,7 @@
 
     async def commit(self, request_id: str, commit: Commit) -> Reply:
         """Commit; the transaction has ended afterwards in any case."""
-        deadline_s = now_s() + self._operation.route.timeout_s
+        deadline_s = now_s() + self.operation.route.timeout_s
         refusal = await self._ensure_begun(deadline_s)
         if refusal is not None:
             return refusal
@@ -120,18 +120,18 @@
             return self._nothing_kept(self._aborted)
         if self._borrowed is not None:
             return None
-        must_be_primary = not self._is_read_only or self._operation.needs_primary
+        must_be_primary = not self._is_read_only or self.operation.needs_primary
         excluded: set[str] = set()
         cause = "no target took the transaction"
         for attempt in range(MAX_ATTEMPTS):
-            placement = Placement(self._operation, must_be_primary, frozenset(excluded), deadline_s)
+            placement = Placement(self.operation, must_be_primary, frozenset(excluded), deadline_s)
             borrowed = await borrow(self._parts, placement)
             if isinstance(borrowed, Refusal):
                 self._aborted = borrowed.detail
                 return borrowed
             begin = Work(NO_REQUEST_ID, Begin(self._is_read_only), None, False)
             outcome = await exchange(
-                self._parts, borrowed, self._operation.state, begin, borrowed.after, deadline_s
+                self._parts, borrowed, self.operation, begin, borrowed.after, deadline_s
             )
             if isinstance(outcome, Ran):
                 self._start(borrowed)
@@ -158,7 +158,7 @@
             if self._aborted:
                 return Interrupted(False, self._aborted)
             outcome = await exchange(
-                self._parts, self._borrowed, self._operation.state, work, None, deadline_s
+                self._parts, self._borrowed, self.operation, work, None, deadline_s
             )
             match outcome:
                 case Refused(
@@ -171,13 +171,13 @@
         return outcome
 
     def _committed(self, borrowed: Borrowed, outcome: Ran) -> Reply:
-        service = self._operation.route.service
+        service = self.operation.route.service
         if self._has_written:
             if not self._parts.may_acknowledge(service, borrowed.epoch):
                 self._count(OUTCOME_UNKNOWN.label)
                 return Refusal(OUTCOME_UNKNOWN, "the primary was replaced during COMMIT")
-            self._operation.state.position = outcome.position
-            self._operation.state.position_epoch = borrowed.epoch
+            self.operation.state.position = outcome.position
+            self.operation.state.position_epoch = borrowed.epoch
         return Done(*outcome)
 
     def _fail(self, cause: str) -> Refusal:
--- a/libs/sessions/src/pistachiowinch/sessions/work.py
+++ b/libs/sessions/src/pistachiowinch/sessions/work.py
@@ -14,7 +14,7 @@
 from pistachiowinch.sessions.alignment import shared_name
 from pistachiowinch.sessions.site import Consistency, Route
 
-__all__ = ["CallerState", "Operation", "Work", "work_of"]
+__all__ = ["CallerState", "Operation", "Usage", "Work", "work_of"]
 
 
 class CallerState:
@@ -47,6 +47,16 @@
     is_write: bool
 
 
+class Usage:
+    """Whether an operation has reached a target, so that its rate token is spent."""
+
+    __slots__ = ("is_spent",)
+
+    def __init__(self) -> None:
+        """Note that nothing was sent yet."""
+        self.is_spent = False
+
+
 class Operation(NamedTuple):
     """Where and for whom a statement or a transaction runs.
 
@@ -57,6 +67,7 @@
     customer: str
     state: CallerState
     started_s: float
+    usage: Usage
 
     @property
     def needs_primary(self) -> bool:
--- a/tests/sessions/fake_group.py
+++ b/tests/sessions/fake_group.py
@@ -232,6 +232,10 @@
         self.left -= 1
         return self.left >= 0
 
+    def refund(self, customer):
+        """Give a token back."""
+        self.left += 1
+
     async def acquire(self, customer, deadline_s):
         """Take a token."""
         if self.left >= 0:
--- a/tests/sessions/test_session.py
+++ b/tests/sessions/test_session.py
@@ -306,3 +306,19 @@
     replies = await asyncio.gather(*(caller(READ) for caller in callers))
     assert all(isinstance(reply, Done) for reply in replies)
     assert world.primary.connections <= 4
+
+
+async def test_an_operation_that_reached_no_target_gives_its_token_back():
+    """Load during a switch: refused retries must not use up the customer's rate."""
+    world = World()
+    world.rates.left = 5
+    world.primaries.name = ""
+    caller = Caller(world, "primary")
+    assert isinstance(await caller(WRITE), Refusal)
+    await caller(Begin(False))
+    assert isinstance(await caller(WRITE), Refusal)
+    await caller(Rollback())
+    assert world.rates.left == 5
+    world.primaries.name = "a"
+    assert isinstance(await caller(WRITE), Done)
+    assert world.rates.left == 4
