Require a session's own commit during a switch; date no position from inside a transaction

While a switch was only begun, the session's position was dropped in favour of observations of the old primary, which may be 2.5 s old. Statements inside a transaction could also date the log's end as it was at BEGIN.

--- a/libs/sessions/src/pistachiowinch/sessions/borrowing.py
+++ b/libs/sessions/src/pistachiowinch/sessions/borrowing.py
@@ -77,14 +77,16 @@
     route = operation.route
     epoch = parts.primaries.epoch(route.service)
     log = parts.freshness_of(route.service)
-    required = log.required(epoch, operation.started_s, route.max_staleness_s)
+    observed = log.required(epoch, operation.started_s, route.max_staleness_s)
+    if observed is None:
+        return None
     state = operation.state
-    if required is None or route.consistency is not Consistency.READ_YOUR_WRITES:
-        return required
-    if state.position is None or state.position_epoch != epoch:
-        # Positions of the new primary cover every commit that outlived the switch.
-        return required
-    return max(required, state.position)
+    if route.consistency is not Consistency.READ_YOUR_WRITES or state.position is None:
+        return observed.position
+    if observed.epoch > state.position_epoch:
+        # A later primary's positions cover every commit that outlived its predecessor.
+        return observed.position
+    return max(observed.position, state.position)
 
 
 def _refusal_at_once(parts: SessionParts, placement: Placement) -> Refusal | None:
--- a/libs/sessions/src/pistachiowinch/sessions/exchanges.py
+++ b/libs/sessions/src/pistachiowinch/sessions/exchanges.py
@@ -74,7 +74,7 @@
     match outcome:
         case Ran(_, _, position):
             parts.health.note_answer(target, now_s() - sent_s, position)
-            if borrowed.is_primary:
+            if borrowed.is_primary and not work.is_inside:
                 parts.freshness_of(held.target.service).note(borrowed.epoch, sent_s, position)
         case Refused(reason=ReasonRefused.LAGGING, position=position):
             parts.health.note_alive(target)
--- a/libs/sessions/src/pistachiowinch/sessions/freshness.py
+++ b/libs/sessions/src/pistachiowinch/sessions/freshness.py
@@ -10,7 +10,7 @@
 
 from pistachiowinch.links.statements import Position
 
-__all__ = ["FreshnessLog"]
+__all__ = ["FreshnessLog", "Observation"]
 
 # Largest staleness that a route may state and still be served by replicas.
 KEPT_S = 10.0
@@ -18,7 +18,13 @@
 SPACING_S = 0.02
 
 
-class _Observation(NamedTuple):
+class Observation(NamedTuple):
+    """A position that the primary has reported.
+
+    :param sent_s: loop time of the question; every commit acknowledged before is in the position.
+    :param epoch: number of the switch that made it primary.
+    """
+
     sent_s: float
     epoch: int
     position: Position
@@ -29,7 +35,7 @@
 
     def __init__(self) -> None:
         """Create a log without observations."""
-        self._observations: deque[_Observation] = deque()
+        self.observations: deque[Observation] = deque()
 
     def note(self, epoch: int, sent_s: float, position: Position | None) -> None:
         """Take a position from an answer of the proved primary.
@@ -39,17 +45,19 @@
         """
         if position is None:
             return
-        if self._observations:
-            newest = self._observations[-1]
+        if self.observations:
+            newest = self.observations[-1]
             is_known = newest.epoch == epoch and sent_s - newest.sent_s < SPACING_S
             if is_known or newest.epoch > epoch or sent_s < newest.sent_s:
                 return
-        self._observations.append(_Observation(sent_s, epoch, position))
-        while self._observations[0].sent_s < sent_s - KEPT_S:
-            self._observations.popleft()
+        self.observations.append(Observation(sent_s, epoch, position))
+        while self.observations[0].sent_s < sent_s - KEPT_S:
+            self.observations.popleft()
 
-    def required(self, epoch: int, read_start_s: float, max_staleness_s: float) -> Position | None:
-        """Return the position that covers all commits which a read must see.
+    def required(
+        self, epoch: int, read_start_s: float, max_staleness_s: float
+    ) -> Observation | None:
+        """Return the observation that covers all commits which a read must see.
 
         An earlier primary's positions stay valid during a switch, but its successor may never have
         had them, so its own are preferred.
@@ -60,11 +68,11 @@
         :returns: None if no observation is young enough.
         """
         oldest_s = read_start_s - max_staleness_s
-        earlier: Position | None = None
-        for observation in self._observations:
+        earlier: Observation | None = None
+        for observation in self.observations:
             if observation.sent_s < oldest_s:
                 continue
             if observation.epoch == epoch:
-                return observation.position
-            earlier = earlier or observation.position
+                return observation
+            earlier = earlier or observation
         return earlier
--- a/libs/sessions/src/pistachiowinch/sessions/transactions.py
+++ b/libs/sessions/src/pistachiowinch/sessions/transactions.py
@@ -63,7 +63,7 @@
         if refusal is not None:
             return refusal
         self._has_written = self._has_written or work.is_write
-        outcome = await self._exchange(work, deadline_s)
+        outcome = await self._exchange(work._replace(is_inside=True), deadline_s)
         self.used_s = now_s()
         match outcome:
             case Ran():
--- a/libs/sessions/src/pistachiowinch/sessions/work.py
+++ b/libs/sessions/src/pistachiowinch/sessions/work.py
@@ -39,12 +39,15 @@
 
     :param statement: with the shared name in place of the caller's prepared one.
     :param shape: what the statement executes; None if it is not prepared.
+    :param is_inside: whether it runs inside an open transaction, which may report the log's end as
+        it was at its beginning.
     """
 
     request_id: str
     statement: Statement
     shape: Prepare | None
     is_write: bool
+    is_inside: bool = False
 
 
 class Usage:
