--- a/libs/fleet/src/pistachiowinch/fleet/following.py
+++ b/libs/fleet/src/pistachiowinch/fleet/following.py
@@ -47,6 +47,7 @@
         self._log = log
         self._revision: int | None = None
         self._poll: asyncio.Task | None = None
+        self._is_refreshing = False
         self.items: dict[str, KeyValue] = {}
         self.is_filled = asyncio.Event()
         self.is_broken = True
@@ -62,6 +63,7 @@
         """Read everything again now, because a peer knows something newer."""
         self._revision = None
         if self._poll is not None:
+            self._is_refreshing = True
             self._poll.cancel()
 
     async def run(self) -> None:
@@ -72,9 +74,10 @@
             try:
                 await asyncio.shield(self._poll)
             except asyncio.CancelledError:
-                if not self._poll.cancelled():
+                if not self._is_refreshing:
                     self._poll.cancel()
                     raise
+                self._is_refreshing = False
             except HistoryLost as error:
                 self._log.write("history_lost", prefix=self._prefix, detail=str(error))
                 self._revision = None
