Count hosts that lost the store until their proofs have ended

The partition left five of seven hosts with the old primary and without the store; their leases ended, the other two took themselves for a majority and promoted. Membership is now a record without a lease, removed 16.3 s after the lease ended, and a majority of peers proves nothing 15 s after the last contact with the store. Ruled out: frozen or late answers; the writes were acknowledged on a majority's proof.

--- a/libs/fleet/src/pistachiowinch/fleet/currency.py
+++ b/libs/fleet/src/pistachiowinch/fleet/currency.py
@@ -3,16 +3,22 @@
 A switch of a primary is written to the store, and acknowledged by a majority of the hosts, before
 the promotion is ordered. A host that has heard from a majority lately, or from the store itself,
 therefore knows of every switch that may take effect within the proof's lifetime.
+
+Hosts that lost the store still form majorities with each other. They count, and keep a promoter on
+the store's side from a majority, until they have been away for so long that their proofs ended.
 """
 
 from collections.abc import Callable
 
 from pistachiowinch.base.clock import now_s
 
-__all__ = ["PROOF_S", "CurrencyProof", "proved_by_majority"]
+__all__ = ["AWAY_S", "PROOF_S", "CurrencyProof", "proved_by_majority"]
 
 # Two heartbeats of 0.2 s in a row may be lost; a promotion waits this long for silent hosts.
 PROOF_S = 0.8
+# Longer than the store is usually away. After that a host must not rely on its peers alone, because
+# it may have been removed from the members.
+AWAY_S = 15.0
 
 
 def proved_by_majority(voters: frozenset[str], contacts: frozenset[str]) -> bool:
@@ -46,6 +52,8 @@
     @property
     def has_majority(self) -> bool:
         """Whether peers alone prove that the primaries are current."""
+        if now_s() - self._store_proved_s() > AWAY_S:
+            return False
         return proved_by_majority(self._voters(), self._contacts(PROOF_S))
 
     @property
--- a/libs/fleet/src/pistachiowinch/fleet/records.py
+++ b/libs/fleet/src/pistachiowinch/fleet/records.py
@@ -12,6 +12,7 @@
     "FLEET_PREFIX",
     "GROUPS_PREFIX",
     "HOSTS_PREFIX",
+    "MEMBERS_PREFIX",
     "DutyRecord",
     "FenceRecord",
     "HostRecord",
@@ -20,19 +21,21 @@
     "encode_record",
     "group_key",
     "host_key",
+    "member_key",
 ]
 
 T = TypeVar("T")
 
 FLEET_PREFIX = "fleet/"
 HOSTS_PREFIX = "fleet/hosts/"
+MEMBERS_PREFIX = "fleet/members/"
 GROUPS_PREFIX = "fleet/groups/"
 DUTY_KEY = "fleet/duty"
 FENCE_KEY = "fleet/fence"
 
 
 class HostRecord(msgspec.Struct, frozen=True):
-    """One running host; removed with its lease.
+    """One host, under its leased key while it runs and under its member key while it counts.
 
     :param run: random number of the run, which tells a restarted host from its predecessor.
     """
@@ -73,6 +76,11 @@
     return HOSTS_PREFIX + host
 
 
+def member_key(host: str) -> str:
+    """Return the key that makes a host count; it has no lease."""
+    return MEMBERS_PREFIX + host
+
+
 def group_key(service: str) -> str:
     """Return the key of a service's primary."""
     return GROUPS_PREFIX + service
--- a/libs/fleet/src/pistachiowinch/fleet/registration.py
+++ b/libs/fleet/src/pistachiowinch/fleet/registration.py
@@ -3,18 +3,20 @@
 import random
 from collections.abc import Callable
 
-from pistachiowinch.base.clock import sleep_s
+from pistachiowinch.base.clock import now_s, sleep_s
 from pistachiowinch.base.decisions import DecisionLog
 from pistachiowinch.base.identity import HostIdentity
+from pistachiowinch.fleet.currency import AWAY_S, PROOF_S
 from pistachiowinch.fleet.following import PrefixFollower
 from pistachiowinch.fleet.records import (
-    HOSTS_PREFIX,
+    MEMBERS_PREFIX,
     HostRecord,
     decode_record,
     encode_record,
     host_key,
+    member_key,
 )
-from pistachiowinch.links.store import NO_LEASE, PollingStore, Put, StoreError
+from pistachiowinch.links.store import NO_LEASE, Compare, Delete, PollingStore, Put, StoreError
 
 __all__ = ["HostRegistration", "KnownHosts"]
 
@@ -23,8 +25,8 @@
 # Two renewals may fail before the lease ends.
 RENEW_S = 1.0
 RETRY_S = 0.3
-# A host that nobody hears has no proof after 0.8 s and spends no rate tokens 2 s later.
-HEARD_S = 3.0
+# A member without a lease is removed when its proofs have ended, whatever it still hears.
+ABSENT_S = AWAY_S + PROOF_S + 0.5
 
 
 class HostRegistration:
@@ -62,9 +64,11 @@
                 await sleep_s(RETRY_S * random.uniform(0.5, 1.0))
 
     async def leave(self) -> None:
-        """Remove the record, for a planned stop."""
+        """Stop counting, for a planned stop."""
         if self._lease != NO_LEASE:
+            host = self._record.host
             try:
+                await self._store.transact([], [Delete(host_key(host)), Delete(member_key(host))])
                 await self._store.end_lease(self._lease)
             except StoreError as error:
                 self._log.write("leave_failed", detail=str(error))
@@ -82,63 +86,68 @@
                 self._on_succession()
         lease = await self._store.grant_lease(LEASE_S)
         record = Put(host_key(self._record.host), encode_record(self._record), lease)
-        await self._store.transact([], [record])
+        member = Put(member_key(self._record.host), encode_record(self._record))
+        await self._store.transact([], [record, member])
         self._lease = lease
         self._log.write("registered", lease=lease)
 
 
 class KnownHosts:
-    """Hosts that count for a majority.
+    """The members: hosts that count for majorities and share rates and connections.
 
-    A host counts while it is registered, and longer while it is heard: it may have lost only the
-    store, and still act on what it knows.
+    A host stays a member when its lease ends, because it may have lost only the store and still act
+    on what it knows. It is removed when it has been absent for longer than that can last.
 
     :param identity: this host, which always counts.
-    :param heard_within_s: returns the names of peers heard within so many seconds.
+    :param store: where members are removed.
+    :param log: decisions of this part.
     """
 
-    def __init__(
-        self, identity: HostIdentity, heard_within_s: Callable[[float], frozenset[str]]
-    ) -> None:
+    def __init__(self, identity: HostIdentity, store: PollingStore, log: DecisionLog) -> None:
         """Create a view of this host alone."""
         self._identity = identity
-        self._heard_within_s = heard_within_s
-        self._registered: dict[str, HostIdentity] = {identity.host: identity}
-        self._vanished: dict[str, HostIdentity] = {}
+        self._store = store
+        self._log = log
+        self._members: dict[str, HostIdentity] = {identity.host: identity}
+        self._revisions: dict[str, int] = {}
+        self._absent_since_s: dict[str, float] = {}
 
     @property
     def voters(self) -> tuple[HostIdentity, ...]:
         """All hosts that count, this one included."""
-        if self._vanished:
-            heard = self._heard_within_s(HEARD_S)
-            self._vanished = {
-                host: identity for host, identity in self._vanished.items() if host in heard
-            }
-        return (*self._registered.values(), *self._vanished.values())
+        return tuple(self._members.values())
 
-    @property
-    def has_vanished(self) -> bool:
-        """Whether some hosts count only for a while longer."""
-        return bool(self._vanished)
+    def take(self, follower: PrefixFollower, is_whole: bool) -> None:
+        """Take the records that the store holds now.
 
-    @property
-    def registered(self) -> frozenset[str]:
-        """Names of the hosts whose records the store holds, and this one."""
-        return frozenset(self._registered)
-
-    def take(self, follower: PrefixFollower) -> None:
-        """Take the records that the store holds now."""
-        found = {self._identity.host: self._identity}
+        :param is_whole: whether changes may have been missed, so that absences start anew.
+        """
+        members = {self._identity.host: self._identity}
+        self._revisions = {}
         for key, item in follower.items.items():
-            if key.startswith(HOSTS_PREFIX):
-                record = decode_record(item, HostRecord)
-                if record is not None and record.host != self._identity.host:
-                    found[record.host] = HostIdentity(
-                        record.host, record.run, record.availability_zone, record.peer_url
-                    )
-        for host, identity in self._registered.items():
-            if host not in found:
-                self._vanished[host] = identity
-        for host in found:
-            self._vanished.pop(host, None)
-        self._registered = found
+            record = decode_record(item, HostRecord) if key.startswith(MEMBERS_PREFIX) else None
+            if record is not None and record.host != self._identity.host:
+                members[record.host] = HostIdentity(
+                    record.host, record.run, record.availability_zone, record.peer_url
+                )
+                self._revisions[record.host] = item.mod_revision
+        self._members = members
+        absent = {host for host in members if host_key(host) not in follower.items}
+        absent.discard(self._identity.host)
+        known = {} if is_whole else self._absent_since_s
+        self._absent_since_s = {host: known.get(host, now_s()) for host in sorted(absent)}
+
+    async def remove_absent(self) -> None:
+        """Remove members whose leases ended so long ago that they prove nothing any more."""
+        oldest_s = now_s() - ABSENT_S
+        for host, since_s in tuple(self._absent_since_s.items()):
+            if since_s > oldest_s:
+                continue
+            condition = Compare(member_key(host), self._revisions[host])
+            try:
+                reply = await self._store.transact([condition], [Delete(member_key(host))])
+            except StoreError as error:
+                self._log.write("removal_failed", host=host, cause=str(error)[:60])
+                return
+            self._log.write("member_removed", host=host, succeeded=reply.succeeded)
+            self._absent_since_s[host] = now_s()
