--- a/tests/fleet/fake_store.py
+++ b/tests/fleet/fake_store.py
@@ -61,6 +61,9 @@
     def put(self, key: str, value: bytes | None, lease: int = 0) -> None:
         """Change a key as another writer would; None removes it."""
         self.revision += 1
+        self._put(key, value, lease)
+
+    def _put(self, key: str, value: bytes | None, lease: int = 0) -> None:
         if value is None:
             self.items.pop(key, None)
         else:
@@ -108,14 +111,16 @@
             item = self.items.get(compare.key)
             if (item.mod_revision if item is not None else 0) != compare.mod_revision:
                 return TxnReply(False, 0)
+        # All keys of a transaction get the same revision.
+        self.revision += 1
         for operation in operations:
             match operation:
                 case Put(key, value, lease):
                     if lease and lease not in self.leases:
                         raise StoreUnavailable("the lease has ended")
-                    self.put(key, value, lease)
+                    self._put(key, value, lease)
                 case Delete(key):
-                    self.put(key, None)
+                    self._put(key, None)
         if self.lose_replies:
             self.lose_replies -= 1
             raise StoreReplyLost("lost")
--- /dev/null
+++ b/tests/fleet/test_duty.py
@@ -0,0 +1,83 @@
+"""The right to promote: one holder at a time, and fencing tokens that only grow."""
+
+import asyncio
+
+import pytest
+from fleet.fake_store import FakeStore
+
+from pistachiowinch.base.decisions import DecisionLog
+from pistachiowinch.fleet.duty import DUTY_LEASE_S, ORDER_MARGIN_S, PromotionDuty
+from pistachiowinch.links.store import StoreReplyLost
+
+pytestmark = pytest.mark.looptime
+
+
+def duty(store: FakeStore, host: str) -> PromotionDuty:
+    """Return a host's duty."""
+    return PromotionDuty(store, host, hash(host) & 0xFFFF, DecisionLog("test"))
+
+
+async def test_a_second_host_waits_until_the_lease_ends():
+    """ONE: two hosts must not hold the duty at the same time."""
+    store = FakeStore()
+    first, second = duty(store, "a"), duty(store, "b")
+    assert await first.acquire()
+    assert not await second.acquire()
+    await asyncio.sleep(DUTY_LEASE_S + 0.1)
+    assert await second.acquire()
+    assert second.fence > first.fence
+    assert not first.is_held
+
+
+async def test_two_hosts_that_race_get_one_duty():
+    """ONE: of two transactions at the same moment only one may succeed."""
+    store = FakeStore()
+    results = await asyncio.gather(*(duty(store, name).acquire() for name in "abc"))
+    assert sorted(results) == [False, False, True]
+
+
+async def test_the_holder_renews_and_keeps_its_token():
+    """A renewal must not change the token while the holder stays the same."""
+    store = FakeStore()
+    held = duty(store, "a")
+    assert await held.acquire()
+    fence = held.fence
+    await asyncio.sleep(DUTY_LEASE_S - 0.5)
+    assert not held.is_held
+    assert await held.acquire()
+    assert held.is_held
+    assert held.fence == fence
+
+
+async def test_an_order_leaves_only_well_before_the_lease_ends():
+    """ONE: a holder that was paused must not order after its successor."""
+    store = FakeStore()
+    held = duty(store, "a")
+    assert await held.acquire()
+    await asyncio.sleep(DUTY_LEASE_S - ORDER_MARGIN_S + 0.05)
+    assert not held.is_held
+
+
+async def test_a_lost_acknowledgement_is_never_taken_for_the_duty():
+    """platform_lost: the record may be there, but its revision and lease are not known."""
+    store = FakeStore()
+    held = duty(store, "a")
+    store.lose_replies = 1
+    with pytest.raises(StoreReplyLost):
+        await held.acquire()
+    assert not await held.acquire()
+    await asyncio.sleep(DUTY_LEASE_S + 0.1)
+    assert await held.acquire()
+    assert held.fence == 2
+
+
+async def test_tokens_grow_although_the_duty_s_record_is_gone():
+    """ONE: the token outlives the leased record."""
+    store = FakeStore()
+    fences = []
+    for name in "abab":
+        holder = duty(store, name)
+        assert await holder.acquire()
+        fences.append(holder.fence)
+        await asyncio.sleep(DUTY_LEASE_S + 0.1)
+    assert fences == [1, 2, 3, 4]
