--- /dev/null
+++ b/tests/platform/test_callers.py
@@ -0,0 +1,172 @@
+"""The callers' side over loopback: every message is answered once, and bad ones cost nothing."""
+
+import asyncio
+
+import pytest
+from sessions.fake_group import World
+
+from pistachiowinch.base.decisions import DecisionLog
+from pistachiowinch.platform.callers import CallerServer
+
+
+class Client:
+    """A caller that sends lines and reads lines."""
+
+    def __init__(self, reader, writer) -> None:
+        """Wrap a connection."""
+        self.reader = reader
+        self.writer = writer
+
+    async def ask(self, text: str) -> list[str]:
+        """Send a line and read up to READY, an end of the connection, or ERROR before READY."""
+        self.writer.write(f"{text}\r\n".encode("latin-1"))
+        lines = []
+        while True:
+            line = await asyncio.wait_for(self.reader.readline(), 2.0)
+            if not line:
+                return [*lines, "closed"]
+            lines.append(line.decode("latin-1").rstrip("\r\n"))
+            if lines[-1].startswith("READY"):
+                return lines
+
+
+class Site:
+    """A server for callers over fake targets."""
+
+    def __init__(self) -> None:
+        """Create a server."""
+        self.world = World()
+        self.server = CallerServer(self.world.parts, DecisionLog("test"))
+        self.port = 0
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        await self.server.start("127.0.0.1", 0)
+        self.port = self.server._server.sockets[0].getsockname()[1]
+
+    async def client(self) -> Client:
+        """Connect."""
+        return Client(*await asyncio.open_connection("127.0.0.1", self.port))
+
+
+@pytest.fixture
+async def site():
+    """Run a server."""
+    found = Site()
+    await found.start()
+    yield found
+    found.server.stop_listening()
+    found.server.close_all()
+
+
+async def test_a_transaction_from_start_to_bye(site):
+    """The ordinary path: states, receipts and positions as the protocol says."""
+    client = await site.client()
+    assert await client.ask("START primary key") == ["READY I -"]
+    assert await client.ask("QUERY q1 BEGIN") == ["DONE -", "READY T -"]
+    assert await client.ask("QUERY q2 WRITE 1 x") == ["DONE receipt-q2", "READY T 1.0"]
+    assert await client.ask("QUERY q3 COMMIT") == ["DONE receipt-q3", "READY I 1.1"]
+    assert await client.ask("BYE") == ["closed"]
+
+
+@pytest.mark.parametrize(
+    ("line", "word"),
+    [
+        ("START nowhere key", "NODB"),
+        ("START primary wrong", "NOAUTH"),
+        ("START primary", "NOAUTH"),
+        ("HELLO", "MALFORMED"),
+    ],
+)
+async def test_sessions_that_may_not_open(site, line, word):
+    """UNASKED and ROUTE: nothing of a session without a valid key or database may run."""
+    client = await site.client()
+    answer = await client.ask(line)
+    assert answer[0].split(" ")[1] == word
+    assert answer[-1] == "closed"
+    assert not site.world.primary.connections
+
+
+async def test_malformed_queries_leave_the_session_open(site):
+    """A broken statement is the caller's mistake and must not cost it the session."""
+    client = await site.client()
+    await client.ask("START primary key")
+    for line in (
+        "QUERY",
+        "QUERY q1",
+        "QUERY - READ 1",
+        "QUERY q1 STATUS",
+        "QUERY q1 AFTER 1.1 READ 1",
+    ):
+        answer = await client.ask(line)
+        assert answer[0].startswith("ERROR MALFORMED")
+        assert answer[1] == "READY I -"
+    assert (await client.ask("QUERY q2 READ 1"))[0] == "DONE receipt-q2"
+
+
+async def test_a_statement_above_the_limit_is_refused(site):
+    """A large statement must cost neither the session nor a target."""
+    client = await site.client()
+    await client.ask("START primary key")
+    answer = await client.ask("QUERY q1 WRITE 1 " + "x" * 2000)
+    assert answer[0].startswith("ERROR TOOLARGE")
+    assert not site.world.primary.runs
+
+
+async def test_a_message_above_a_mebibyte_ends_the_connection(site):
+    """An endless line must not fill the memory."""
+    client = await site.client()
+    await client.ask("START primary key")
+    client.writer.write(b"QUERY q1 WRITE 1 " + b"x" * 1_200_000)
+    assert await asyncio.wait_for(client.reader.read(), 2.0) is not None
+    await asyncio.sleep(0.05)
+    assert site.server.count == 0
+
+
+async def test_a_caller_that_leaves_rolls_its_transaction_back(site):
+    """PINNED: the connection of an abandoned transaction must not serve another session."""
+    client = await site.client()
+    await client.ask("START primary key")
+    await client.ask("QUERY q1 BEGIN")
+    await client.ask("QUERY q2 WRITE 1 x")
+    assert site.world.primary.connections == 1
+    client.writer.close()
+    await asyncio.sleep(0.1)
+    assert site.world.primary.connections == 0
+
+
+async def test_a_withdrawn_key_is_refused_with_the_right_word(site):
+    """CONFIG: NOAUTH on the open session, which stays usable for a key that returns."""
+    client = await site.client()
+    await client.ask("START primary key")
+    site.world.configure(2, keys=("key2",))
+    answer = await client.ask("QUERY q1 READ 1")
+    assert answer[0].startswith("ERROR NOAUTH")
+
+
+async def test_only_idle_sessions_are_closed_by_a_planned_stop(site):
+    """LOST: a statement or transaction under way must not be cut."""
+    idle, busy = await site.client(), await site.client()
+    await idle.ask("START primary key")
+    await busy.ask("START primary key")
+    await busy.ask("QUERY q1 BEGIN")
+    site.server.close_idle()
+    assert await asyncio.wait_for(idle.reader.read(), 1.0) == b""
+    assert (await busy.ask("QUERY q2 WRITE 1 x"))[0] == "DONE receipt-q2"
+    assert (await busy.ask("QUERY q3 COMMIT"))[0] == "DONE receipt-q3"
+    await asyncio.sleep(0.02)
+    site.server.close_idle()
+    assert await asyncio.wait_for(busy.reader.read(), 1.0) == b""
+
+
+async def test_a_transaction_whose_caller_rests_is_ended(site):
+    """A resting caller must not keep a connection that others wait for."""
+    client = await site.client()
+    await client.ask("START primary key")
+    await client.ask("QUERY q1 BEGIN")
+    await client.ask("QUERY q2 WRITE 1 x")
+    configuration = site.world.view.configuration._replace(version=9, transaction_idle_s=0.05)
+    site.world.view.set_configuration(configuration, "test")
+    await asyncio.sleep(0.1)
+    site.server.end_idle_transactions()
+    assert (await client.ask("QUERY q3 COMMIT"))[0].startswith("ERROR ABORTED")
--- /dev/null
+++ b/tests/platform/test_documents.py
@@ -0,0 +1,141 @@
+"""Settings, the operators' configuration and registry entries: broken ones cost nothing."""
+
+import json
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pistachiowinch.limits.bucket import RateLimit
+from pistachiowinch.links.store import KeyValue
+from pistachiowinch.platform.documents import decode_configuration, decode_target
+from pistachiowinch.platform.settings import SettingsError, read_settings
+from pistachiowinch.sessions.site import Consistency
+
+CONFIGURATION = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r",
+            "host": "db1",
+            "prefix": "/",
+            "kind": "read_your_writes",
+            "timeoutMs": 1000,
+            "targetLatencyMs": 400,
+            "priority": 2,
+            "service": "svc",
+            "maxAttempts": 2,
+            "maxStalenessMs": 2500,
+            "public": False,
+        }
+    ],
+    "services": [{"name": "svc", "healthPath": "/health", "maxConns": 33, "unknown": 1}],
+    "limits": {"maxBodyBytes": 100, "txIdleMs": 2000},
+    "tenants": [{"name": "carp", "apiKeys": ["k1", "k2"], "ratePerS": 59, "burst": 60}],
+}
+ENTRY = {
+    "service": "svc",
+    "address": "10.0.0.1:80",
+    "zone": "z1",
+    "version": "v1",
+    "slots": 5,
+    "state": "ready",
+    "coldMs": 0,
+    "dbRole": "replica",
+    "seq": 4,
+    "born": 1700,
+}
+SETTINGS = {
+    "node": "h1",
+    "ip": "10.1.0.26",
+    "zone": "z1",
+    "listen": {"front": "10.1.0.26:8465", "ready": "10.1.0.26:8460"},
+    "portRange": [7560, 7575],
+    "platform": {"address": "10.200.1.7:8466"},
+    "cloudApi": {"address": "10.200.0.2:8466"},
+    "bounds": {"graceS": 6},
+    "later": {"field": 1},
+}
+
+
+def item(value: object) -> KeyValue:
+    """Return a stored entry of a target."""
+    data = value if isinstance(value, bytes) else json.dumps(value).encode()
+    return KeyValue("servers/i-1", data, 1)
+
+
+def test_a_configuration_is_decoded_into_the_product_s_words():
+    """CONFIG: every field that decides must arrive, in seconds and per customer."""
+    found = decode_configuration(item(CONFIGURATION))
+    route = found.routes["db1"]
+    assert (found.version, route.consistency) == (7, Consistency.READ_YOUR_WRITES)
+    assert (route.timeout_s, route.max_staleness_s) == (1.0, 2.5)
+    assert found.customers == {"k1": "carp", "k2": "carp"}
+    assert found.rates == {"carp": RateLimit(59, 60)}
+    assert found.services["svc"].max_connections == 33
+    assert (found.transaction_idle_s, found.max_statement_bytes) == (2.0, 100)
+
+
+def test_an_unreadable_configuration_is_told():
+    """A configuration that cannot be read must not be taken for an empty one."""
+    with pytest.raises(msgspec.DecodeError):
+        decode_configuration(item(b"{"))
+
+
+def test_a_target_is_decoded():
+    """A registered replica must be found under its id."""
+    target = decode_target(item(ENTRY))
+    assert (target.name, target.address, target.born_ms) == ("i-1", "10.0.0.1:80", 1700)
+    assert not target.is_leaving and not target.claims_primary
+    assert decode_target(item({**ENTRY, "state": "draining"})).is_leaving
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "odd"},
+        {"dbRole": "leader"},
+        {"address": "nowhere"},
+        {"address": 5},
+        {"born": "x"},
+        {"zone": None},
+    ],
+)
+def test_a_foreign_entry_names_no_target(change):
+    """An entry of another writer must be left out, and must not stop the others."""
+    assert decode_target(item({**ENTRY, **change})) is None
+
+
+@given(st.binary(max_size=60))
+def test_any_bytes_in_the_registry_cost_nothing(data):
+    """The registry may hold anything."""
+    assert decode_target(item(data)) is None
+
+
+def test_settings(tmp_path):
+    """Unknown fields are ignored, known ones are taken."""
+    path = tmp_path / "settings.json"
+    path.write_text(json.dumps(SETTINGS))
+    found = read_settings(path)
+    assert (found.host, found.peer_url, found.stop_within_s) == ("h1", "tcp://10.1.0.26:7560", 6)
+
+
+def test_all_faults_of_the_settings_are_named_at_once(tmp_path):
+    """An operator must not find ten faults one by one."""
+    path = tmp_path / "settings.json"
+    path.write_text(json.dumps({**SETTINGS, "node": "", "listen": {}, "portRange": [0]}))
+    with pytest.raises(SettingsError) as error:
+        read_settings(path)
+    for field in ("node", "listen.front", "listen.ready", "portRange"):
+        assert field in str(error.value)
+
+
+def test_unreadable_settings(tmp_path):
+    """A missing or broken file is an error with its path, not a traceback."""
+    with pytest.raises(SettingsError):
+        read_settings(tmp_path / "absent.json")
+    path = tmp_path / "broken.json"
+    path.write_text("{")
+    with pytest.raises(SettingsError):
+        read_settings(path)
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,114 @@
+"""The store's client against a stand-in: what a failed call says about its effect."""
+
+import asyncio
+
+import pytest
+from platform_standins import StoreStandIn
+
+from pistachiowinch.base.decisions import DecisionLog
+from pistachiowinch.base.metrics import Metrics
+from pistachiowinch.links.store import (
+    Compare,
+    Delete,
+    HistoryLost,
+    Put,
+    StoreReplyLost,
+    StoreUnavailable,
+)
+from pistachiowinch.platform import store as store_module
+from pistachiowinch.platform.store import PlatformStore
+
+
+@pytest.fixture
+async def stand_in():
+    """Run a store."""
+    found = StoreStandIn()
+    await found.start()
+    yield found
+    await found.stop()
+
+
+@pytest.fixture
+async def store(stand_in, monkeypatch):
+    """Return a client with short time-outs."""
+    monkeypatch.setattr(store_module, "CALL_TIMEOUT_S", 0.3)
+    client = PlatformStore(stand_in.address, Metrics(), DecisionLog("test"))
+    yield client
+    await client.close()
+
+
+async def test_keys_pages_and_removal(store, stand_in):
+    """All pages must be read, and bytes must come back unchanged."""
+    for number in range(5):
+        stand_in.put(f"a/{number}", bytes([0, 255, number]))
+    snapshot = await store.read_prefix("a/")
+    assert [item.value[2] for item in snapshot.items] == [0, 1, 2, 3, 4]
+    assert snapshot.revision == stand_in.revision
+    assert (await store.get("a/3")).value == bytes([0, 255, 3])
+    assert await store.get("a/9") is None
+
+
+async def test_changes_are_continued_from_the_answered_revision(store, stand_in):
+    """CONFIG: no change may be skipped or repeated between two polls."""
+    stand_in.put("a/1", b"x")
+    first = await store.changes("a/", 0, 1.0)
+    assert [event.key for event in first.events] == ["a/1"]
+    waiting = asyncio.ensure_future(store.changes("a/", first.revision, 2.0))
+    await asyncio.sleep(0.05)
+    stand_in.remove("a/1")
+    (event,) = (await waiting).events
+    assert (event.key, event.value) == ("a/1", None)
+
+
+async def test_a_forgotten_history_is_told(store, stand_in):
+    """platform_compact: 410 must lead to a new read and not to a missed change."""
+    stand_in.lost_before = 10
+    with pytest.raises(HistoryLost):
+        await store.changes("a/", 1, 0.1)
+
+
+async def test_transactions_and_their_conditions(store):
+    """ONE: a condition that does not hold must change nothing and say so."""
+    reply = await store.transact([Compare("k", 0)], [Put("k", b"1")])
+    assert reply.succeeded
+    assert not (await store.transact([Compare("k", 0)], [Put("k", b"2")])).succeeded
+    assert (await store.transact([Compare("k", reply.revision)], [Delete("k")])).succeeded
+
+
+async def test_leases(store):
+    """A lapsed lease must be told apart from a failed call."""
+    lease = await store.grant_lease(3.0)
+    assert await store.keep_alive(lease) == 3.0
+    assert await store.keep_alive(1) == 0.0
+    await store.end_lease(lease)
+
+
+async def test_a_refused_call_had_no_effect(store, stand_in):
+    """A 503 promises that nothing was done, so the caller may repeat the call."""
+    stand_in.mode = "busy"
+    with pytest.raises(StoreUnavailable):
+        await store.transact([], [Put("k", b"1")])
+
+
+async def test_a_missing_answer_promises_nothing(store, stand_in):
+    """platform_lost: the call may have been done, which the caller has to find out."""
+    stand_in.mode = "silent"
+    with pytest.raises(StoreReplyLost):
+        await store.transact([], [Put("k", b"1")])
+    assert "k" in stand_in.items
+    stand_in.mode = "ok"
+    assert (await store.get("k")).value == b"1"
+
+
+async def test_an_absent_store_had_no_effect(stand_in):
+    """A connection that was never opened cannot have carried a call."""
+    client = PlatformStore("127.0.0.1:1", Metrics(), DecisionLog("test"))
+    with pytest.raises(StoreUnavailable):
+        await client.get("k")
+
+
+async def test_values_that_are_not_base64_are_unreadable(store, stand_in):
+    """Another writer's broken value must not stop the host."""
+    stand_in.put("a/1", b"x")
+    stand_in.items["a/1"]["value"] = "%%%"
+    assert (await store.get("a/1")).value == b""
