Start the wait of a switch anew when its majority is lost; model the switch

Cause: found by the new specification model/switchover.py: a member that returns after its removal may have vouched for the old primary, so a majority that is complete only with it proves nothing about the time before. Also: a restarted host takes its part of the rates over while it is a member, not only while its lease lasts.

--- a/libs/fleet/src/pistachiowinch/fleet/registration.py
+++ b/libs/fleet/src/pistachiowinch/fleet/registration.py
@@ -80,7 +80,7 @@
             self._log.write("lease_lapsed", lease=self._lease)
             self._lease = NO_LEASE
         if self._is_first:
-            previous = await self._store.get(host_key(self._record.host))
+            previous = await self._store.get(member_key(self._record.host))
             self._is_first = False
             if previous is not None:
                 self._on_succession()
--- a/libs/fleet/src/pistachiowinch/fleet/switching.py
+++ b/libs/fleet/src/pistachiowinch/fleet/switching.py
@@ -183,7 +183,10 @@
                 gated |= {host for host, ask in asks.items() if ask.done()}
                 if voters <= gated:
                     return True
-                if majority_s is None and proved_by_majority(voters, frozenset(gated)):
+                if not proved_by_majority(voters, frozenset(gated)):
+                    # A member that returned may have proved the old primary to others meanwhile.
+                    majority_s = None
+                elif majority_s is None:
                     majority_s = now_s()
                 if majority_s is not None and now_s() - majority_s > PROOF_S + PROOF_MARGIN_S:
                     self._log("hosts_not_gated", hosts=sorted(voters - gated))
--- a/tests/fleet/test_registration.py
+++ b/tests/fleet/test_registration.py
@@ -59,7 +59,7 @@
 async def test_only_a_run_that_still_counts_is_succeeded():
     """QUOTA: a host may take its part of the rates over only while peers keep it for that host."""
     world = Registered()
-    world.store.put(host_key("a"), encode_record(record("a", 1)))
+    world.store.put(member_key("a"), encode_record(record("a", 1)))
     task = asyncio.ensure_future(world.registration.run())
     await asyncio.sleep(1.0)
     assert world.successions == 1
--- a/tests/fleet/test_switching.py
+++ b/tests/fleet/test_switching.py
@@ -1,6 +1,7 @@
 """Switches of a primary: no host may use the old one when the new one takes work."""
 
 import asyncio
+import dataclasses
 
 import pytest
 from fleet.fake_store import FakeStore
@@ -161,6 +162,20 @@
     assert not world.group.orders
 
 
+async def test_a_majority_that_is_lost_again_starts_the_wait_anew():
+    """ONE: found by the model; a member that returns may have vouched for the old primary."""
+    world = World()
+    world.hosts.silent = {"q", "r"}
+    members = {"names": frozenset("pqrs")}
+    world.parts = dataclasses.replace(world.parts, voters=lambda: members["names"])
+    loop = asyncio.get_running_loop()
+    loop.call_later(0.3, members.update, {"names": frozenset("pqs")})
+    loop.call_later(0.6, members.update, {"names": frozenset("pqrs")})
+    loop.call_later(0.9, members.update, {"names": frozenset("pqs")})
+    assert await PrimarySwitch(world.parts, CRASHED).run()
+    assert world.group.orders[0][2] >= 0.9 + PROOF_S
+
+
 async def test_work_under_way_at_another_host_is_waited_for():
     """ONE: a host with an exchange at the old primary has not stopped using it."""
     world = World()
--- a/tests/model/test_checker.py
+++ b/tests/model/test_checker.py
@@ -11,6 +11,7 @@
 from pistachiowinch.model.escrow import EscrowGuard, EscrowSpecification
 from pistachiowinch.model.ledger import LedgerGuard, LedgerSpecification
 from pistachiowinch.model.promotion import PromotionGuard, PromotionSpecification
+from pistachiowinch.model.switchover import SwitchoverGuard, SwitchoverSpecification
 
 
 class _Case(NamedTuple):
@@ -22,6 +23,7 @@
     _Case(PromotionSpecification(), 10),
     _Case(LedgerSpecification(), 16),
     _Case(EscrowSpecification(), 16),
+    _Case(SwitchoverSpecification(), 15),
 ]
 
 # The depth of each shortest violation; terms are reduced where two suffice.
@@ -42,6 +44,7 @@
     ),
     *(_Case(LedgerSpecification(guard), 8) for guard in LedgerGuard),
     *(_Case(EscrowSpecification(guard), 16) for guard in EscrowGuard),
+    *(_Case(SwitchoverSpecification(guard), 14) for guard in SwitchoverGuard),
 ]
 
 
