--- a/libs/operations/src/pistachiowinch/operations/settings.py
+++ b/libs/operations/src/pistachiowinch/operations/settings.py
@@ -1,7 +1,7 @@
 """Settings of one host, read from an INI file.
 
 Every fault of a file is reported at once, so that an operator corrects it in one pass. The table
-:data:`SETTINGS` is the only description of a setting; the reference in ``docs/operations.md`` is
+:data:`SETTINGS` is the only description of a setting; the reference in ``docs/OPERATIONS.md`` is
 checked against it.
 """
 
--- a/tests/operations/test_docs.py
+++ b/tests/operations/test_docs.py
@@ -14,7 +14,7 @@
 
 ROOT = Path(__file__).parents[2]
 PAGES = [ROOT / "README.md", *sorted((ROOT / "docs").glob("*.md"))]
-OPERATIONS = (ROOT / "docs" / "operations.md").read_text(encoding="utf-8")
+OPERATIONS = (ROOT / "docs" / "OPERATIONS.md").read_text(encoding="utf-8")
 COMMAND = re.compile(r"\bpistachiowinch ((?:[a-z]+ ?)+)")
 
 
