--- a/tests/limits/test_rates.py
+++ b/tests/limits/test_rates.py
@@ -258,3 +258,45 @@
     levels = [escrow._customers["c"].bucket.level for escrow in site.escrows.values()]
     assert max(levels) - min(levels) < 0.3
     await site.stop()
+
+
+async def test_a_new_run_spends_what_its_part_generated_since_its_start():
+    """Load after a kill of all hosts: an empty part would refuse every customer for a second."""
+    escrow = RateEscrow("host-0", PeerNetwork(1).link("host-0"), read_share=lambda: 0.5)
+    escrow.set_limits({"c": RateLimit(40.0, 40.0)})
+    started_s = now_s()
+    await sleep_s(0.25)
+    escrow.resume(started_s)
+    task = asyncio.ensure_future(escrow.run())
+    await sleep_s(0.01)
+    admitted = sum(escrow.try_acquire("c") for _ in range(40))
+    assert admitted == 5
+    task.cancel()
+
+
+async def test_a_refunded_token_can_be_spent_again_and_never_exceeds_the_burst():
+    """Load during a switch: requests that reached no target must not use the rate up."""
+    escrow = RateEscrow("host-0", PeerNetwork(1).link("host-0"))
+    escrow.set_limits({"c": RateLimit(1.0, 2.0)})
+    escrow.set_share(1.0)
+    await sleep_s(5.0)
+    assert [escrow.try_acquire("c") for _ in range(3)] == [True, True, False]
+    escrow.refund("c")
+    assert escrow.try_acquire("c")
+    await sleep_s(5.0)
+    escrow.refund("c")
+    assert [escrow.try_acquire("c") for _ in range(3)] == [True, True, False]
+
+
+async def test_a_spent_rate_is_refused_at_once():
+    """Load of one customer at ten times its rate: waiting would only hold what cannot be served."""
+    site = await filled_site(RateLimit(40.0, 10.0))
+    for number in range(600):
+        site.begin(HOSTS[number % 9], "c")
+        await sleep_s(0.0025)
+    asked_s = now_s()
+    result = await site.escrows["host-3"].acquire("c", now_s() + 0.05)
+    waited_s = now_s() - asked_s
+    assert isinstance(result, Failure)
+    assert waited_s < 0.01
+    await site.stop()
