Move the entry host out of the adapter into libs/entry, behind EntryLinks

Cause: platform/host.py decided how long lapsed targets are kept, which part of rates and connections belongs to a host and who acts first; the adapter is to translate only. Ruled out: a change of behaviour; the code moved, the daemon got the callers' server and signals.

--- a/platform/src/pistachiowinch/platform/host.py
+++ b/libs/entry/src/pistachiowinch/entry/host.py
@@ -5,10 +5,11 @@
 from collections.abc import Iterable
 
 from pistachiowinch.base.clock import now_s, sleep_s
-from pistachiowinch.base.decisions import BoundedLineWriter, DecisionLog
+from pistachiowinch.base.decisions import DecisionLog
 from pistachiowinch.base.hashing import rendezvous_order
 from pistachiowinch.base.identity import HostIdentity
 from pistachiowinch.base.metrics import Metrics
+from pistachiowinch.entry.links import EntryLinks, HostAddress
 from pistachiowinch.fleet.currency import PROOF_S, CurrencyProof
 from pistachiowinch.fleet.duty import PromotionDuty
 from pistachiowinch.fleet.following import PrefixFollower
@@ -29,20 +30,6 @@
 from pistachiowinch.peering.membership import Membership
 from pistachiowinch.peering.messages import AnnouncedPrimary, LocalState, ReceivedHeartbeat
 from pistachiowinch.peering.pynng_link import PynngPeerLink
-from pistachiowinch.platform import PROCESS_STARTED_S
-from pistachiowinch.platform.callers import CallerServer
-from pistachiowinch.platform.documents import (
-    CONFIGURATION_KEY,
-    EVACUATIONS_PREFIX,
-    OPERATORS_PREFIX,
-    TARGETS_PREFIX,
-    decode_configuration,
-    decode_target,
-)
-from pistachiowinch.platform.orders import PlatformOrders
-from pistachiowinch.platform.settings import HostSettings
-from pistachiowinch.platform.store import PlatformStore
-from pistachiowinch.platform.targets import LineTargetLink
 from pistachiowinch.sessions.connections import Connections
 from pistachiowinch.sessions.health import TargetHealth
 from pistachiowinch.sessions.parts import SessionParts
@@ -69,20 +56,33 @@
 class Host:
     """One entry host.
 
-    :param settings: checked settings.
-    :param writer: where the decision log goes; None for nowhere.
+    :param address: this host.
+    :param links: the outside, behind the product's interfaces.
+    :param metrics: all metrics of this host.
+    :param log: where decisions go.
+    :param started_s: loop time at which this process was started.
     """
 
-    def __init__(self, settings: HostSettings, writer: BoundedLineWriter | None = None) -> None:
+    def __init__(
+        self,
+        address: HostAddress,
+        links: EntryLinks,
+        metrics: Metrics,
+        log: DecisionLog,
+        started_s: float,
+    ) -> None:
         """Create all parts; :meth:`start` runs them."""
-        self.settings = settings
-        self.log = DecisionLog("host", writer, now_s)
-        self.metrics = Metrics()
+        self.address = address
+        self.log = log
+        self.metrics = metrics
+        self.store = links.store
+        self._links = links
+        self._documents = links.documents
+        self._started_s = started_s
         run = random.SystemRandom().getrandbits(47) | 1
         self._identity = HostIdentity(
-            settings.host, run, settings.availability_zone, settings.peer_url
+            address.host, run, address.availability_zone, address.peer_url
         )
-        self.store = PlatformStore(settings.store_address, self.metrics, self.log.for_part("store"))
         self._tasks: list[asyncio.Task] = []
         self._proved_last_s = float("-inf")
         self._was_proved = False
@@ -93,13 +93,13 @@
 
     def _build_fleet(self, run: int) -> None:
         fleet_log = self.log.for_part("fleet")
-        settings = self.settings
-        self._link = PynngPeerLink(settings.host, settings.peer_url, self.metrics)
+        address = self.address
+        self._link = PynngPeerLink(address.host, address.peer_url, self.metrics)
         self._membership = Membership(
             self._identity, self._link, self._local_state, None, self.metrics
         )
         self._hosts = KnownHosts(self._identity, self.store, fleet_log)
-        record = HostRecord(settings.host, run, settings.availability_zone, settings.peer_url)
+        record = HostRecord(address.host, run, address.availability_zone, address.peer_url)
         self._registration = HostRegistration(self.store, record, self._on_succession, fleet_log)
         self.primaries = PrimaryTable(fleet_log)
         self._fleet = PrefixFollower(self.store, FLEET_PREFIX, self._on_fleet, fleet_log)
@@ -111,7 +111,7 @@
         site_log = self.log.for_part("site")
         self.view = SiteView(site_log)
         self.health = TargetHealth(self.log.for_part("targets"))
-        self._target_link = LineTargetLink()
+        self._target_link = self._links.targets
         self.connections = Connections(
             self._target_link,
             self.health,
@@ -120,7 +120,7 @@
             self.log.for_part("connections"),
         )
         self._rates = RateEscrow(
-            self.settings.host, self._link, self.metrics, read_share=self._rate_share
+            self.address.host, self._link, self.metrics, read_share=self._rate_share
         )
         self._work = PrimaryWork()
         self.parts = SessionParts(
@@ -133,22 +133,23 @@
             work=self._work,
             metrics=self.metrics,
             log=log,
-            availability_zone=self.settings.availability_zone,
+            availability_zone=self.address.availability_zone,
         )
-        self.callers = CallerServer(self.parts, log)
         self._prober = TargetProber(self.view, self.health, self._target_link)
-        self._operators = PrefixFollower(self.store, OPERATORS_PREFIX, self._on_operators, site_log)
-        self._registry = PrefixFollower(self.store, TARGETS_PREFIX, self._on_registry, site_log)
+        self._operators = PrefixFollower(
+            self.store, self._documents.operators_prefix, self._on_operators, site_log
+        )
+        self._registry = PrefixFollower(
+            self.store, self._documents.targets_prefix, self._on_registry, site_log
+        )
 
     def _build_switching(self, run: int) -> None:
         log = self.log.for_part("switch")
-        self._orders = PlatformOrders(
-            self.settings.orders_address, self.view, self._target_link, log
-        )
+        self._orders = self._links.orders(self.view, log)
         switch_parts = SwitchParts(
-            host=self.settings.host,
+            host=self.address.host,
             store=self.store,
-            duty=PromotionDuty(self.store, self.settings.host, run, log),
+            duty=PromotionDuty(self.store, self.address.host, run, log),
             orders=self._orders,
             table=self.primaries,
             link=self._link,
@@ -173,7 +174,7 @@
         )
 
     async def start(self) -> None:
-        """Start all tasks and listen for callers."""
+        """Start all tasks."""
         await self._link.start()
         parts = (
             self._registration.run(),
@@ -189,9 +190,7 @@
         )
         loop = asyncio.get_running_loop()
         self._tasks = [loop.create_task(self._guard(part)) for part in parts]
-        host, _, port = self.settings.callers_address.rpartition(":")
-        await self.callers.start(host, int(port))
-        self.log.write("started", host=self.settings.host, run=self._identity.incarnation)
+        self.log.write("started", host=self.address.host, run=self._identity.incarnation)
 
     async def leave(self) -> None:
         """Return what other hosts can use, and stop."""
@@ -199,8 +198,6 @@
         await self._registration.leave()
         for task in self._tasks:
             task.cancel()
-        self._orders.close()
-        await self.store.close()
 
     async def _guard(self, part) -> None:
         """Keep the process alive if one of its parts fails."""
@@ -226,16 +223,18 @@
 
     def _on_operators(self, keys: Iterable[str], is_whole: bool) -> None:
         items = self._operators.items
-        item = items.get(CONFIGURATION_KEY)
-        if item is not None and CONFIGURATION_KEY in keys:
+        item = items.get(self._documents.configuration_key)
+        if item is not None and self._documents.configuration_key in keys:
             self._take_configuration(item)
-        zones = (key for key in items if key.startswith(EVACUATIONS_PREFIX))
-        self.view.set_evacuated(frozenset(key.removeprefix(EVACUATIONS_PREFIX) for key in zones))
+        zones = (key for key in items if key.startswith(self._documents.evacuations_prefix))
+        self.view.set_evacuated(
+            frozenset(key.removeprefix(self._documents.evacuations_prefix) for key in zones)
+        )
         self.connections.wake_all()
 
     def _take_configuration(self, item) -> None:
         try:
-            configuration = decode_configuration(item)
+            configuration = self._documents.decode_configuration(item)
         except (ValueError, TypeError) as error:
             self.log.write("configuration_unreadable", revision=item.mod_revision, cause=str(error))
             return
@@ -248,7 +247,7 @@
     def _on_registry(self, keys: Iterable[str], is_whole: bool) -> None:
         found: dict[str, Target] = {}
         for item in self._registry.items.values():
-            target = decode_target(item)
+            target = self._documents.decode_target(item)
             if target is not None:
                 found[target.name] = target
         self._take_targets(found)
@@ -346,8 +345,8 @@
         return 1.0 / len(self._hosts.voters)
 
     def _on_succession(self) -> None:
-        self.log.write("succession", age_s=round(now_s() - PROCESS_STARTED_S, 3))
-        self._rates.resume(PROCESS_STARTED_S)
+        self.log.write("succession", age_s=round(now_s() - self._started_s, 3))
+        self._rates.resume(self._started_s)
 
     def _connection_share(self, service: str) -> int:
         limits = self.view.configuration.services.get(service)
@@ -376,9 +375,9 @@
     # Primaries
 
     def _rank(self) -> int:
-        present = self._heard_within(PRESENT_S) | {self.settings.host}
-        order = rendezvous_order("promotion", present & self._voters() | {self.settings.host})
-        return order.index(self.settings.host)
+        present = self._heard_within(PRESENT_S) | {self.address.host}
+        order = rendezvous_order("promotion", present & self._voters() | {self.address.host})
+        return order.index(self.address.host)
 
     def _group_views(self) -> list[GroupView]:
         # A host without a majority could begin a switch and never end it.
@@ -434,6 +433,5 @@
             if self._missing_since_s and self._is_registry_settled:
                 self._missing_since_s.clear()
                 self._on_registry((), True)
-            self.callers.end_idle_transactions()
             self.connections.trim_idle()
             self.connections.wake_all()
