--- a/libs/entry/src/pistachiowinch/entry/host.py
+++ b/libs/entry/src/pistachiowinch/entry/host.py
@@ -302,6 +302,7 @@
     # What this host tells
 
     def _local_state(self) -> LocalState:
+        # Heartbeats call the number of a switch a term, as the MySQL edge numbers its primaries.
         announced = {
             service: AnnouncedPrimary(record.epoch, record.primary)
             for service, record in self.primaries.records.items()
--- a/libs/fleet/src/pistachiowinch/fleet/primaries.py
+++ b/libs/fleet/src/pistachiowinch/fleet/primaries.py
@@ -1,6 +1,5 @@
 """Which target is each service's primary, as records of the store and peers tell."""
 
-import asyncio
 from collections.abc import Mapping
 
 from reactivex import Observable
@@ -33,7 +32,6 @@
         self._records: dict[str, PrimaryRecord] = {}
         self._registry: dict[str, str] = {}
         self._changes: Subject[str] = Subject()
-        self._changed = asyncio.Event()
 
     @property
     def changes(self) -> Observable[str]:
@@ -82,16 +80,5 @@
             self._log.write("primary_registered", service=service, primary=primary)
             self._announce(service)
 
-    async def wait_changed(self, timeout_s: float) -> None:
-        """Wait until any primary changes, at most for a time."""
-        try:
-            async with asyncio.timeout(timeout_s):
-                await self._changed.wait()
-        except TimeoutError:
-            return
-
     def _announce(self, service: str) -> None:
-        # Waiters of the old event wake; later ones wait for the next change.
-        self._changed.set()
-        self._changed = asyncio.Event()
         self._changes.on_next(service)
--- a/libs/sessions/src/pistachiowinch/sessions/health.py
+++ b/libs/sessions/src/pistachiowinch/sessions/health.py
@@ -25,7 +25,6 @@
 
 class _State:
     __slots__ = (
-        "failed_since_s",
         "failures",
         "lagging_until_s",
         "latency_s",
@@ -36,7 +35,6 @@
 
     def __init__(self) -> None:
         self.failures = 0
-        self.failed_since_s = 0.0
         self.started_s: dict[int, float] = {}
         self.latency_s = FIRST_LATENCY_S
         self.lagging_until_s = 0.0
@@ -97,8 +95,6 @@
     def note_failure(self, target: str, cause: str) -> None:
         """Note an exchange or a connection that the target did not answer."""
         state = self._state(target)
-        if state.failures == 0:
-            state.failed_since_s = now_s()
         state.failures += 1
         if state.failures == SUSPECT_FAILURES:
             self._log.write("target_suspected", target=target, cause=cause)
@@ -126,11 +122,6 @@
         oldest_s = min(state.started_s.values(), default=now_s())
         return state.failures > 0 or now_s() - oldest_s > SLOW_EXCHANGE_S
 
-    def failing_for_s(self, target: str) -> float:
-        """Seconds since the first failure after the last success; 0 while it answers."""
-        state = self._states.get(target)
-        return now_s() - state.failed_since_s if state is not None and state.failures else 0.0
-
     def is_paused(self, target: str) -> bool:
         """Whether the target refused connections or work a moment ago."""
         state = self._states.get(target)
--- a/libs/sessions/src/pistachiowinch/sessions/parts.py
+++ b/libs/sessions/src/pistachiowinch/sessions/parts.py
@@ -27,9 +27,6 @@
     def primary(self, service: str) -> str:
         """Return the primary's name; empty while none is known."""
 
-    async def wait_changed(self, timeout_s: float) -> None:
-        """Wait until any primary changes."""
-
 
 class LimitsRates(Protocol):
     """Holds customers to their rates over all hosts."""
--- a/tests/sessions/fake_group.py
+++ b/tests/sessions/fake_group.py
@@ -215,10 +215,6 @@
         """Return the primary's name."""
         return self.name
 
-    async def wait_changed(self, timeout_s):
-        """Wait."""
-        await asyncio.sleep(timeout_s)
-
 
 class FakeRates:
     """Allows a number of operations."""
