--- a/tests/fleet/test_duty.py
+++ b/tests/fleet/test_duty.py
@@ -3,9 +3,11 @@
 import asyncio
 
 import pytest
+from fleet.store_support import put
 
 from pistachiowinch.base.decisions import DecisionLog
 from pistachiowinch.fleet.duty import DUTY_LEASE_S, ORDER_MARGIN_S, PromotionDuty
+from pistachiowinch.fleet.records import FENCE_KEY
 from pistachiowinch.links.store import StoreReplyLost
 from pistachiowinch.standins.memory_store import MemoryStore
 
@@ -88,3 +90,15 @@
         fences.append(holder.fence)
         await asyncio.sleep(DUTY_LEASE_S + 0.1)
     assert fences == [1, 2, 3, 4]
+
+
+async def test_an_unreadable_token_is_replaced_by_a_higher_one():
+    """ONE: a token that starts again at 1 would be below those that the platform has seen."""
+    store = MemoryStore()
+    first = duty(store, "a")
+    assert await first.acquire()
+    await asyncio.sleep(DUTY_LEASE_S + 0.1)
+    put(store, FENCE_KEY, b"not a token")
+    second = duty(store, "b")
+    assert await second.acquire()
+    assert second.fence > first.fence
--- /dev/null
+++ b/tests/sessions/test_connections.py
@@ -0,0 +1,75 @@
+"""Connections shared by many sessions, at the loads that they were built for."""
+
+import asyncio
+
+import pytest
+from sessions.fake_group import World
+from sessions.test_session import READ, Caller
+
+from pistachiowinch.base import codes
+from pistachiowinch.base.codes import Refusal
+from pistachiowinch.sessions.connections import IDLE_KEPT_S, KEPT_PART
+from pistachiowinch.sessions.replies import Done
+
+pytestmark = pytest.mark.looptime
+
+KEYS = ("key", "key2")
+
+
+async def burst(world: World, count: int) -> list:
+    """Let many sessions of two customers read from the primary at once."""
+    callers = [Caller(world, "primary", KEYS[number % 2]) for number in range(count)]
+    return await asyncio.gather(*(caller(READ) for caller in callers))
+
+
+async def test_the_next_run_finds_room_while_dark_connections_still_count():
+    """Load after a power loss: targets counted 49 of 50 connections of the lost run for 3 s, and
+    the next run could open none (gmsau-jingle trouble-1).
+    """
+    world = World(share=7)
+    world.primary.max_connections = 8
+    assert all(isinstance(reply, Done) for reply in await burst(world, 30))
+    assert world.primary.connections == 7
+    await asyncio.sleep(IDLE_KEPT_S + 0.1)
+    world.connections.trim_idle()
+    assert world.primary.connections == int(7 * KEPT_PART)
+    # The lost run's connections stay with the target, which cannot tell that their end is dark.
+    following = World(share=7)
+    following.link.targets["a"] = world.primary
+    assert all(isinstance(reply, Done) for reply in await burst(following, 30))
+    assert world.primary.connections <= 8
+
+
+async def test_connections_in_use_are_never_trimmed():
+    """PINNED: a connection inside a statement or transaction must not be closed as idle."""
+    world = World(share=4)
+    world.primary.work_s = 2 * IDLE_KEPT_S
+    reading = asyncio.ensure_future(burst(world, 4))
+    await asyncio.sleep(1.5 * IDLE_KEPT_S)
+    world.connections.trim_idle()
+    assert all(isinstance(reply, Done) for reply in await reading)
+
+
+async def test_a_full_target_is_left_alone_for_a_moment_and_then_used_again():
+    """TOOMANY: refused connections cost slots of the target, so they must not come in a row."""
+    world = World(share=4)
+    world.primary.max_connections = 0
+    asyncio.get_running_loop().call_later(0.4, setattr, world.primary, "max_connections", 4)
+    assert isinstance(await Caller(world, "primary")(READ), Done)
+    refused = world.metrics.retries.labels("connection_refused")._value.get()
+    assert 2 <= refused <= 4
+
+
+async def test_a_queue_that_is_full_refuses_the_newest_at_once():
+    """Load far above the slots: what cannot be served must not wait for its deadline."""
+    world = World(share=1)
+    world.primary.work_s = 0.5
+    loop = asyncio.get_running_loop()
+    waiting = asyncio.ensure_future(burst(world, 65))
+    await asyncio.sleep(0.05)
+    asked_s = loop.time()
+    reply = await Caller(world, "primary")(READ)
+    assert isinstance(reply, Refusal) and reply.code is codes.QUEUE_FULL
+    assert loop.time() - asked_s < 0.01
+    assert "retry after" in reply.detail
+    await waiting
--- /dev/null
+++ b/tests/sessions/test_probing.py
@@ -0,0 +1,67 @@
+"""How soon a dark target is suspected, and that a busy one is not."""
+
+import asyncio
+
+import pytest
+from sessions.fake_group import World
+from sessions.test_session import READ, Caller
+
+from pistachiowinch.links.statements import TargetRefused
+from pistachiowinch.sessions.probing import TargetProber
+
+pytestmark = pytest.mark.looptime
+
+
+async def probing(world: World) -> asyncio.Task:
+    """Start a prober over a world's targets."""
+    prober = TargetProber(world.view, world.health, world.link)
+    return asyncio.ensure_future(prober.run())
+
+
+async def test_a_dark_primary_is_suspected_before_its_statements_time_out():
+    """Load while a primary is cut off: statements are silent for a second, and nothing else tells
+    (gmsau-jingle scale-1, suspected after 1.25 s before).
+    """
+    world = World()
+    task = await probing(world)
+    caller = Caller(world, "primary")
+    await caller(READ)
+    world.primary.is_dark = True
+    reading = asyncio.ensure_future(caller(READ))
+    await asyncio.sleep(0.7)
+    assert world.health.is_suspected("a")
+    world.primary.is_dark = False
+    await reading
+    await asyncio.sleep(0.3)
+    assert not world.health.is_suspected("a")
+    task.cancel()
+
+
+async def test_a_slow_target_that_accepts_connections_is_not_suspected_at_once():
+    """A full queue delays greetings too; a switch then would only add to the load."""
+    world = World()
+
+    async def accept_without_greeting(service, target, address, customer, timeout_s):
+        await asyncio.sleep(timeout_s)
+        raise TargetRefused("no greeting", None, True)
+
+    caller = Caller(world, "primary")
+    await caller(READ)
+    world.primary.work_s = 0.45
+    world.link.connect = accept_without_greeting
+    task = await probing(world)
+    await caller(READ)
+    assert not world.health.is_suspected("a")
+    task.cancel()
+
+
+async def test_targets_that_answer_are_not_probed():
+    """Probes take slots of targets and are paid for."""
+    world = World()
+    task = await probing(world)
+    for _ in range(5):
+        await Caller(world, "primary")(READ)
+        await asyncio.sleep(0.3)
+    assert world.primary.opened == 1
+    assert all(replica.opened == 0 for replica in world.replicas)
+    task.cancel()
