Make the run without confirmation lose writes for certain

The test switches the confirmation of writes off and expects random crashes and lagging replicas to lose some.

Change: the fault of this test stops all replicas before it crashes the primary, so that no choice of a replica has every commit. The same fault with the confirmation in place must break nothing, which the old test did not ask.

--- a/tests/measure/test_promises.py
+++ b/tests/measure/test_promises.py
@@ -4,14 +4,17 @@
 
 import pytest
 
-from pistachiowinch.base.clock import now_s
+from pistachiowinch.base.clock import now_s, sleep_s
 from pistachiowinch.groups.confirmation import Confirmed, WriteConfirmer
 from pistachiowinch.measure.caller import Event, EventKind, Outcome
 from pistachiowinch.measure.deployment import Deployment
+from pistachiowinch.measure.faults import FAULTS
 from pistachiowinch.measure.promises import check_history, measure_promises
 
 SMALL = Deployment("small", 3, connections=30, hosts=3, services=1)
 PRIMARY_FAULTS = ("crash_primary", "isolate_primary", "lag_replica", "lose_commit_answer")
+# Many writes of the 24 callers are acknowledged in this time.
+UNREPLICATED_S = 0.3
 HOST_FAULTS = ("crash_host", "isolate_host", "stop_store", "silence_connections")
 
 
@@ -49,12 +52,42 @@
     assert figures.broken == 0, figures
 
 
-def test_writes_that_no_majority_confirmed_are_found_lost(monkeypatch):
-    """Without the confirmation, the run must show lost writes, or it would prove nothing."""
-
-    async def confirm_at_once(self, target, term, deadline_s):
-        return Confirmed(term, 0, now_s())
-
-    monkeypatch.setattr(WriteConfirmer, "confirm", confirm_at_once)
-    figures = measure_promises(SMALL, 1, ("crash_primary", "lag_replica"), run_s=8.0)
-    assert figures.broken > 0, figures
+async def _crash_ahead_of_replicas(site, duration_s):
+    """Crash the primary with commits that no replica has received."""
+    (service,) = site.deployment.service_names
+    primary = site.primary(service)
+    group = site.groups[service]
+    if primary is None or not group.targets[primary].is_up:
+        return
+    replicas = [name for name in site.deployment.target_names(service) if name != primary]
+    for name in replicas:
+        group.pause_replication(name)
+    await sleep_s(UNREPLICATED_S)
+    group.crash(primary, is_silent=False)
+    for name in replicas:
+        group.resume_replication(name)
+    await sleep_s(duration_s)
+    group.restart(primary)
+
+
+async def _confirm_at_once(self, target, term, deadline_s):
+    return Confirmed(term, 0, now_s())
+
+
+@pytest.mark.parametrize("is_confirmed", [False, True])
+def test_writes_that_no_majority_confirmed_are_found_lost(monkeypatch, is_confirmed):
+    """Without the confirmation, the run must show lost writes, or it would prove nothing.
+
+    The fault leaves no choice of a replica that happens to have all commits, and the same fault
+    breaks nothing while writes are confirmed.
+    """
+    monkeypatch.setitem(FAULTS, "crash_ahead_of_replicas", _crash_ahead_of_replicas)
+    if not is_confirmed:
+        monkeypatch.setattr(WriteConfirmer, "confirm", _confirm_at_once)
+    figures = measure_promises(SMALL, 1, ("crash_ahead_of_replicas",), run_s=8.0)
+    assert figures.faults > 0, figures
+    if is_confirmed:
+        assert figures.broken == 0, figures
+    else:
+        assert figures.broken > 0, figures
+        assert figures.lost > 0, figures
