--- a/libs/model/src/pistachiowinch/model/escrow.py
+++ b/libs/model/src/pistachiowinch/model/escrow.py
@@ -10,6 +10,7 @@
 import z3
 
 from pistachiowinch.model.checker import Action, State
+from pistachiowinch.model.evidence import age, evidence_variables
 
 __all__ = ["EscrowGuard", "EscrowSpecification"]
 
@@ -58,20 +59,14 @@
     def variables(self) -> Mapping[str, z3.SortRef]:
         """Variables and their sorts.
 
-        ``age``: steps since the date of a host's evidence. ``asked`` and ``answer``: steps
-        since the newest question of a host to a peer, and the epoch in its answer.
+        Peers answer with their epoch.
         """
         number = z3.BitVecSort(_BITS)
         sorts: dict[str, z3.SortRef] = {"store_epoch": number, "since_majority": number}
         for host in range(_HOSTS):
             sorts[f"epoch{host}"] = number
             sorts[f"active{host}"] = number
-            for peer in range(_HOSTS):
-                if peer != host:
-                    sorts[f"asked{host}{peer}"] = number
-                    sorts[f"answer{host}{peer}"] = number
-                    sorts[f"age{host}{peer}"] = number
-        return sorts
+        return sorts | evidence_variables(_HOSTS, number)
 
     def initial(self) -> Mapping[str, int | bool]:
         """All hosts use epoch 0 with fresh evidence."""
@@ -143,11 +138,10 @@
         return may
 
     def _tick(self, state: State) -> Action:
-        def older(age: z3.ExprRef) -> z3.ExprRef:
-            return z3.If(age == _OLD, age, age + 1)
-
         updates = {
-            name: older(state[name]) for name in state if name.startswith(("asked", "age", "since"))
+            name: age(state[name], _OLD)
+            for name in state
+            if name.startswith(("asked", "age", "since"))
         }
         return Action("time passes", z3.BoolVal(True), updates)
 
--- a/libs/model/src/pistachiowinch/model/switchover.py
+++ b/libs/model/src/pistachiowinch/model/switchover.py
@@ -11,6 +11,7 @@
 import z3
 
 from pistachiowinch.model.checker import Action, State
+from pistachiowinch.model.evidence import age, evidence_variables
 
 __all__ = ["SwitchoverGuard", "SwitchoverSpecification"]
 
@@ -63,8 +64,8 @@
     def variables(self) -> Mapping[str, z3.SortRef]:
         """Variables and their sorts.
 
-        ``away``: steps since a host's last contact with the store. ``age``, ``asked`` and
-        ``answer``: as in the specification of rate shares.
+        ``away``: steps since a host's last contact with the store. Peers answer whether they know
+        of the switch.
         """
         number, flag = z3.BitVecSort(_BITS), z3.BoolSort()
         sorts: dict[str, z3.SortRef] = {
@@ -78,11 +79,7 @@
             sorts[f"gated{host}"] = flag
             sorts[f"acknowledged{host}"] = flag
             sorts[f"away{host}"] = number
-            for peer in range(_HOSTS):
-                if peer != host:
-                    for kind in ("asked", "answer", "age"):
-                        sorts[f"{kind}{host}{peer}"] = number
-        return sorts
+        return sorts | evidence_variables(_HOSTS, number)
 
     def initial(self) -> Mapping[str, int | bool]:
         """All hosts are members with fresh evidence, and no switch has begun."""
@@ -137,11 +134,8 @@
         return z3.And(is_free, z3.Or(by_store, by_peers))
 
     def _tick(self, state: State) -> Action:
-        def older(age: z3.ExprRef) -> z3.ExprRef:
-            return z3.If(age == _OLD, age, age + 1)
-
         prefixes = ("asked", "age", "since", "away")
-        updates = {name: older(state[name]) for name in state if name.startswith(prefixes)}
+        updates = {name: age(state[name], _OLD) for name in state if name.startswith(prefixes)}
         return Action("time passes", z3.BoolVal(True), updates)
 
     def _contact(self, state: State, host: int) -> Action:
