Serve large fleets: a council of seven votes and follows the store, three homes hold each rate

Heartbeats between all hosts, three polls of the store from each host, and loans asked of all hosts grow with the square of the fleet.

Ruled out: statements and sessions (30 statements/s a host, less than on the small sites); connections (one a target and host fits the 66 of a target).

Change: above 15 hosts a record in the store names seven voters, spread over availability zones. Proofs of the primaries come from a majority of these; the other hosts exchange heartbeats with them only and read configuration, registry and members from them (fleet/council.py, fleet/relaying.py). A switch needs majorities of the present and, for 16.3 s after a change, of the previous voters. Each customer's rate is held by three hosts, which lend whole tokens (limits/homes.py). Peers are dialled with their first message. Fleets of up to 15 hosts keep their rule. A read that is under way is not started anew by each peer that tells of a newer configuration.

--- a/libs/entry/src/pistachiowinch/entry/group_views.py
+++ b/libs/entry/src/pistachiowinch/entry/group_views.py
@@ -2,9 +2,9 @@
 
 from pistachiowinch.base.clock import now_s
 from pistachiowinch.base.hashing import rendezvous_order
+from pistachiowinch.fleet.council import Council
 from pistachiowinch.fleet.currency import PROOF_S
 from pistachiowinch.fleet.primaries import PrimaryTable
-from pistachiowinch.fleet.registration import KnownHosts
 from pistachiowinch.fleet.supervision import GroupView
 from pistachiowinch.peering.membership import Membership
 from pistachiowinch.peering.messages import Heartbeat
@@ -22,7 +22,7 @@
 
     :param host: this host's name.
     :param membership: heartbeats of the peers.
-    :param hosts: the members.
+    :param council: the hosts that may act.
     :param view: targets of the services.
     :param primaries: the primary of each service.
     :param health: targets that do not answer this host.
@@ -32,7 +32,7 @@
         self,
         host: str,
         membership: Membership,
-        hosts: KnownHosts,
+        council: Council,
         view: SiteView,
         primaries: PrimaryTable,
         health: TargetHealth,
@@ -40,14 +40,14 @@
         """Create views from their sources."""
         self._host = host
         self._membership = membership
-        self._hosts = hosts
+        self._council = council
         self._view = view
         self._primaries = primaries
         self._health = health
 
     def rank(self) -> int:
-        """Return this host's place among the present members; the first one acts."""
-        present = {heartbeat.host for heartbeat in self._heard(PRESENT_S)} & self._hosts.names
+        """Return this host's place among the present voters; the first one acts."""
+        present = {heartbeat.host for heartbeat in self._heard(PRESENT_S)} & self._council.voters
         return rendezvous_order("promotion", present | {self._host}).index(self._host)
 
     def all(self) -> list[GroupView]:
--- a/libs/entry/src/pistachiowinch/entry/host.py
+++ b/libs/entry/src/pistachiowinch/entry/host.py
@@ -12,6 +12,7 @@
 from pistachiowinch.entry.links import EntryLinks, HostAddress
 from pistachiowinch.entry.registry import TargetRegistry
 from pistachiowinch.entry.shares import Shares
+from pistachiowinch.fleet.council import Council, CouncilKeeper
 from pistachiowinch.fleet.currency import PROOF_S, CurrencyProof
 from pistachiowinch.fleet.duty import PromotionDuty
 from pistachiowinch.fleet.following import PrefixFollower
@@ -25,9 +26,11 @@
     decode_record,
 )
 from pistachiowinch.fleet.registration import HostRegistration, KnownHosts
+from pistachiowinch.fleet.relaying import ChangeServer, RelayedStore
 from pistachiowinch.fleet.store_proof import StoreProof
 from pistachiowinch.fleet.supervision import GroupView, SwitchSupervisor
 from pistachiowinch.fleet.switching import SwitchParts
+from pistachiowinch.limits.homes import RateHomes
 from pistachiowinch.limits.rates import RateEscrow
 from pistachiowinch.links.store import KeyValue
 from pistachiowinch.peering.membership import Membership
@@ -50,6 +53,11 @@
 # A host that is asked to stop work answers this much after the grace time at the latest, before
 # the asking host repeats its request.
 DRAIN_SLACK_S = 0.25
+# A host of the council that was not heard for this long, five heartbeats, is not asked.
+COUNCIL_HEARD_S = 1.0
+# Hosts of a new fleet register within a second, each with a change that all others read.
+GATHER_S = 0.05
+GATHER_NEW_FLEET_S = 0.4
 # Bits of the random number that tells one run of a host from the next.
 RUN_BITS = 47
 
@@ -92,19 +100,33 @@
         log = self._log.for_part("fleet")
         identity = self._identity
         self._link = PynngPeerLink(identity.host, identity.peer_url, self._metrics)
-        self._membership = Membership(identity, self._link, self._local_state, None, self._metrics)
+        self._membership = Membership(
+            identity, self._link, self._local_state, None, self._metrics, states_hosts=False
+        )
         self._hosts = KnownHosts(identity, self._store, log)
+        self._council = Council(identity.host, self._hosts, log)
+        self._relay = RelayedStore(
+            self._store, self._link, self._reads_store, self._council_heartbeats, log
+        )
         record = HostRecord(
             identity.host, identity.incarnation, identity.availability_zone, identity.peer_url
         )
         self._registration = HostRegistration(self._store, record, self._on_succession, log)
         self._primaries = PrimaryTable(log)
-        self._fleet = PrefixFollower(self._store, FLEET_PREFIX, self._on_fleet, log)
+        self._fleet = PrefixFollower(self._relay, FLEET_PREFIX, self._on_fleet, log, self._gather_s)
+        self._keeper = CouncilKeeper(
+            identity.host,
+            self._council,
+            self._hosts,
+            self._store,
+            lambda: not self._fleet.is_broken,
+            log,
+        )
         self._store_proof = StoreProof(
             self._store, self._fleet, lambda: not self.proof.has_majority, self._adopt_all, log
         )
         self.proof = CurrencyProof(
-            lambda: self._hosts.names,
+            lambda: self._council.voters,
             self._membership.contacts,
             lambda: self._store_proof.proved_s,
         )
@@ -122,7 +144,10 @@
             self._metrics,
             self._log.for_part("connections"),
         )
-        self._rates = RateEscrow(host, self._link, self._metrics, read_share=shares.rates)
+        self._homes = RateHomes(host)
+        self._rates = RateEscrow(
+            host, self._link, self._metrics, read_share=shares.rates, homes=self._homes
+        )
         self._work = PrimaryWork()
         self.parts = SessionParts(
             view=self.view,
@@ -138,10 +163,18 @@
         )
         self._prober = TargetProber(self.view, health, links.targets)
         self._operators = PrefixFollower(
-            self._store, self._documents.operators_prefix, self._on_operators, log
+            self._relay, self._documents.operators_prefix, self._on_operators, log
         )
         self._registry = TargetRegistry(
-            self._store, self._documents, self.view, self._connections, health, self._primaries, log
+            self._relay, self._documents, self.view, self._connections, health, self._primaries, log
+        )
+        self._changes = ChangeServer(
+            {
+                FLEET_PREFIX: self._fleet,
+                self._documents.operators_prefix: self._operators,
+                self._documents.targets_prefix: self._registry.follower,
+            },
+            self._link,
         )
 
     def _build_switching(self, links: EntryLinks) -> None:
@@ -155,14 +188,15 @@
             orders=self._orders,
             table=self._primaries,
             link=self._link,
-            voters=lambda: self._hosts.names,
+            members=lambda: self._hosts.names,
+            electorates=lambda: self._council.electorates,
             drain=self._drain,
             log=log,
         )
         self._group_views = GroupViews(
             identity.host,
             self._membership,
-            self._hosts,
+            self._council,
             self.view,
             self._primaries,
             self.parts.health,
@@ -196,6 +230,7 @@
             self._prober.run,
             self._supervisor.run,
             self._store_proof.run,
+            self._keeper.run,
             self._upkeep,
         )
         loop = asyncio.get_running_loop()
@@ -229,9 +264,22 @@
         items = self._fleet.items
         groups = (key for key in keys if key.startswith(GROUPS_PREFIX))
         self._adopt_all(items[key] for key in groups if key in items)
-        members = self._hosts.voters
-        self._membership.set_members(members)
-        self._rates.set_peers([identity.host for identity in members])
+        self._council.take(self._fleet)
+        self._membership.set_members(self._council.partners, self._hosts.members)
+        if self._homes.set_hosts(self._hosts.names):
+            self._rates.take_homes()
+
+    def _reads_store(self) -> bool:
+        """Whether no other host follows the store for this one."""
+        return self._council.record is None or self._council.is_voter
+
+    def _council_heartbeats(self) -> list[ReceivedHeartbeat]:
+        oldest_s = now_s() - COUNCIL_HEARD_S
+        last = (self._membership.last_heartbeat(host) for host in self._council.voters)
+        return [r for r in last if r is not None and r.received_s >= oldest_s]
+
+    def _gather_s(self) -> float:
+        return GATHER_NEW_FLEET_S if self._council.is_missing else GATHER_S
 
     def _adopt_all(self, items: Iterable[KeyValue]) -> None:
         for item in items:
@@ -266,10 +314,12 @@
 
     def _on_heartbeat(self, received: ReceivedHeartbeat) -> None:
         heartbeat = received.heartbeat
+        self._relay.note(received)
         for service, announced in heartbeat.primaries.items():
             record = PrimaryRecord(announced.term, announced.primary)
             self._primaries.adopt(service, record, heartbeat.host)
-        if heartbeat.config_version > self.view.configuration.version >= 0:
+        is_behind = heartbeat.config_version > self.view.configuration.version >= 0
+        if is_behind and self._reads_store():
             self._log.write("configuration_behind", peer=heartbeat.host)
             self._operators.refresh()
 
@@ -296,9 +346,10 @@
         return LocalState(
             roster_epoch=0,
             config_version=max(self.view.configuration.version, 0),
-            store_age_ms=-1,
+            store_age_ms=self._changes.age_ms(),
             suspected_targets=self.parts.health.suspected(targets_by_name(self.view)),
             primaries=announced,
+            followed=self._changes.followed() if self._council.record is not None else None,
         )
 
     async def _drain(self, service: str, grace_s: float) -> bool:
@@ -306,7 +357,8 @@
 
     def _views_if_able(self) -> list[GroupView]:
         # A host without a majority could begin a switch and never end it.
-        if self.parts.is_stopping or self._fleet.is_broken or not self.proof.has_majority:
+        is_able = self._council.is_voter and not self.parts.is_stopping
+        if not is_able or self._fleet.is_broken or not self.proof.has_majority:
             return []
         return self._group_views.all()
 
@@ -329,7 +381,7 @@
             await sleep_s(UPKEEP_S)
             self._log_proof()
             is_absent = self._hosts.has_absent and not self._fleet.is_broken
-            if is_absent and self._group_views.rank() == 0:
+            if is_absent and self._council.is_voter and self._group_views.rank() == 0:
                 await self._hosts.remove_absent()
             self._registry.drop_missing()
             self._connections.trim_idle()
--- a/libs/entry/src/pistachiowinch/entry/registry.py
+++ b/libs/entry/src/pistachiowinch/entry/registry.py
@@ -7,7 +7,7 @@
 from pistachiowinch.entry.links import Documents
 from pistachiowinch.fleet.following import PrefixFollower
 from pistachiowinch.fleet.primaries import PrimaryTable
-from pistachiowinch.links.store import PollingStore
+from pistachiowinch.links.store import PrefixSource
 from pistachiowinch.sessions.connections import Connections
 from pistachiowinch.sessions.health import TargetHealth
 from pistachiowinch.sessions.placement import targets_by_name
@@ -33,7 +33,7 @@
 
     def __init__(
         self,
-        store: PollingStore,
+        store: PrefixSource,
         documents: Documents,
         view: SiteView,
         connections: Connections,
--- a/libs/entry/src/pistachiowinch/entry/shares.py
+++ b/libs/entry/src/pistachiowinch/entry/shares.py
@@ -30,12 +30,12 @@
         self._proved_s = -math.inf
 
     def rates(self) -> float:
-        """Return this host's part of each rate, from 0 to 1."""
+        """Return which part of the rates assigned to this host it may spend: all or none."""
         if self._proof.is_proved:
             self._proved_s = now_s()
         if now_s() - self._proved_s > UNPROVED_SHARE_S:
             return 0.0
-        return 1.0 / len(self._hosts.names)
+        return 1.0
 
     def connections(self, service: str) -> int:
         """Return how many connections this host may open to each target of a service."""
--- a/libs/fleet/src/pistachiowinch/fleet/following.py
+++ b/libs/fleet/src/pistachiowinch/fleet/following.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections import deque
 from collections.abc import Callable, Iterable
 
 from pistachiowinch.base.clock import now_s, sleep_s
@@ -9,13 +10,16 @@
 from pistachiowinch.links.store import (
     HistoryLost,
     KeyValue,
-    PollingStore,
+    PrefixSource,
     StoreError,
     WatchEvent,
 )
 
 __all__ = ["PrefixFollower"]
 
+# Changes that are told apart for hosts that follow this one; others read all keys.
+KEPT_CHANGES = 256
+
 # Bounds how long a poll whose connection went silent hides changes; a change must be in force
 # within 3 s after 4 s of calm.
 POLL_S = 4.0
@@ -27,21 +31,26 @@
 class PrefixFollower:
     """Reads a prefix, then follows its changes; reads again when the history is lost.
 
-    :param store: where the keys live.
+    :param source: where the keys are read.
     :param prefix: common start of the keys.
     :param on_change: called with the changed keys, and whether the copy was replaced as a whole.
     :param log: decisions of this part.
+    :param gap_s: returns the pause after a change, in which further changes gather into one answer.
     """
 
     def __init__(
         self,
-        store: PollingStore,
+        source: PrefixSource,
         prefix: str,
         on_change: Callable[[Iterable[str], bool], None],
         log: DecisionLog,
+        gap_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
         """Create an empty copy; :meth:`run` fills it."""
-        self._store = store
+        self._source = source
+        self._gap_s = gap_s
+        self._changed: deque[tuple[int, str]] = deque()
+        self._told_apart_after = 0
         self._prefix = prefix
         self._on_change = on_change
         self._log = log
@@ -59,10 +68,34 @@
         """Revision up to which changes are known; 0 before the first read."""
         return self._revision or 0
 
+    @property
+    def changed_revision(self) -> int:
+        """Revision of the newest change that the copy has; negative before the first read."""
+        if not self.is_filled.is_set():
+            return -1
+        return self._changed[-1][0] if self._changed else self._told_apart_after
+
+    def changes_after(self, revision: int) -> tuple[WatchEvent, ...] | None:
+        """Return the present state of all keys that changed after a revision.
+
+        :returns: None if these are not told apart any more, so that all keys are to be read.
+        """
+        if revision < self._told_apart_after or not self.is_filled.is_set():
+            return None
+        newest = {key: changed for changed, key in self._changed if changed > revision}
+        return tuple(self._event(key, changed) for key, changed in newest.items())
+
+    def _event(self, key: str, revision: int) -> WatchEvent:
+        item = self.items.get(key)
+        return WatchEvent(key, None if item is None else item.value, revision)
+
     def refresh(self) -> None:
         """Read everything again now, because a peer knows something newer."""
+        if self._revision is None:
+            # That read is under way; starting it anew for each peer would never let it end.
+            return
         self._revision = None
-        if self._poll is not None:
+        if self._poll is not None and not self._poll.done():
             self._is_refreshing = True
             self._poll.cancel()
 
@@ -91,31 +124,42 @@
     async def _step(self) -> None:
         sent_s = now_s()
         if self._revision is None:
-            await self._read_all()
-            self._note_proved(sent_s)
+            proved_s = await self._read_all()
+            self._note_proved(sent_s if proved_s is None else proved_s)
             return
         # A poll right after an outage returns soon, so that the contact is known to be back.
         wait_s = 0.0 if self.is_broken else POLL_S
-        batch = await self._store.changes(self._prefix, self._revision, wait_s)
+        batch = await self._source.changes(self._prefix, self._revision, wait_s)
         self._apply(batch.events)
         self._revision = batch.revision
-        self._note_proved(sent_s if batch.events else sent_s + wait_s)
-
-    async def _read_all(self) -> None:
-        snapshot = await self._store.read_prefix(self._prefix)
+        if batch.proved_s is not None:
+            self._note_proved(batch.proved_s)
+        else:
+            self._note_proved(sent_s if batch.events else sent_s + wait_s)
+        if batch.events:
+            await sleep_s(self._gap_s())
+
+    async def _read_all(self) -> float | None:
+        snapshot = await self._source.read_prefix(self._prefix)
         self.items = {item.key: item for item in snapshot.items}
         self._revision = snapshot.revision
+        self._changed.clear()
+        self._told_apart_after = snapshot.revision
         self.is_filled.set()
         self._on_change(tuple(self.items), True)
+        return snapshot.proved_s
 
     def _apply(self, events: Iterable[WatchEvent]) -> None:
         changed = []
         for event in events:
             changed.append(event.key)
+            self._changed.append((event.mod_revision, event.key))
             if event.value is None:
                 self.items.pop(event.key, None)
             else:
                 self.items[event.key] = KeyValue(event.key, event.value, event.mod_revision)
+        while len(self._changed) > KEPT_CHANGES:
+            self._told_apart_after = self._changed.popleft()[0]
         if changed:
             self._on_change(changed, False)
 
--- a/libs/fleet/src/pistachiowinch/fleet/records.py
+++ b/libs/fleet/src/pistachiowinch/fleet/records.py
@@ -7,12 +7,14 @@
 from pistachiowinch.links.store import KeyValue
 
 __all__ = [
+    "COUNCIL_KEY",
     "DUTY_KEY",
     "FENCE_KEY",
     "FLEET_PREFIX",
     "GROUPS_PREFIX",
     "HOSTS_PREFIX",
     "MEMBERS_PREFIX",
+    "CouncilRecord",
     "DutyRecord",
     "FenceRecord",
     "HostRecord",
@@ -30,6 +32,7 @@
 HOSTS_PREFIX = "fleet/hosts/"
 MEMBERS_PREFIX = "fleet/members/"
 GROUPS_PREFIX = "fleet/groups/"
+COUNCIL_KEY = "fleet/council"
 DUTY_KEY = "fleet/duty"
 FENCE_KEY = "fleet/fence"
 
@@ -57,6 +60,18 @@
     primary: str
 
 
+class CouncilRecord(msgspec.Struct, frozen=True):
+    """The hosts that vote for a large fleet.
+
+    :param hosts: names of the voters.
+    :param previous: names of those who voted before; a host that has not read this record yet may
+        still rely on them.
+    """
+
+    hosts: tuple[str, ...]
+    previous: tuple[str, ...]
+
+
 class DutyRecord(msgspec.Struct, frozen=True):
     """The host that may order promotions; removed with its lease."""
 
--- a/libs/fleet/src/pistachiowinch/fleet/registration.py
+++ b/libs/fleet/src/pistachiowinch/fleet/registration.py
@@ -117,7 +117,7 @@
         self._absent_since_s: dict[str, float] = {}
 
     @property
-    def voters(self) -> tuple[HostIdentity, ...]:
+    def members(self) -> tuple[HostIdentity, ...]:
         """All hosts that count, this one included."""
         return tuple(self._members.values())
 
@@ -126,6 +126,11 @@
         """Names of all hosts that count."""
         return self._names
 
+    def absent_for(self, at_least_s: float) -> frozenset[str]:
+        """Names of members that have held no lease for so long."""
+        oldest_s = now_s() - at_least_s
+        return frozenset(host for host, since in self._absent_since_s.items() if since <= oldest_s)
+
     @property
     def has_absent(self) -> bool:
         """Whether some members have no lease."""
--- a/libs/fleet/src/pistachiowinch/fleet/switching.py
+++ b/libs/fleet/src/pistachiowinch/fleet/switching.py
@@ -101,7 +101,8 @@
     """What a switch uses.
 
     :param host: this host's name.
-    :param voters: returns the names of all hosts that count.
+    :param members: returns the names of all hosts that count.
+    :param electorates: returns groups of hosts that each must have a majority for a switch.
     :param drain: ends this host's own work at a service's primary.
     """
 
@@ -111,7 +112,8 @@
     orders: GroupOrders
     table: PrimaryTable
     link: PeerLink
-    voters: Callable[[], frozenset[str]]
+    members: Callable[[], frozenset[str]]
+    electorates: Callable[[], tuple[frozenset[str], ...]]
     drain: Callable[[str, float], "asyncio.Future[bool]"]
     log: DecisionLog
 
@@ -188,27 +190,27 @@
 
     async def _gate_all_hosts(self) -> bool:
         """Wait until no host can use the old primary."""
-        others = self._parts.voters() - {self._parts.host}
+        others = self._parts.members() - {self._parts.host}
         grace_s = PLANNED_GRACE_S if self._request.is_planned else 0.0
         asks = {host: asyncio.ensure_future(self._gate(host, grace_s)) for host in others}
         own = asyncio.ensure_future(self._parts.drain(self._request.service, grace_s))
         majority_s: float | None = None
         try:
             while now_s() - self._started_s < SWITCH_LIMIT_S:
-                voters = self._parts.voters()
+                members = self._parts.members()
                 gated = {self._parts.host} if own.done() else set()
                 gated |= {host for host, ask in asks.items() if ask.done()}
-                if voters <= gated:
+                if members <= gated:
                     return True
-                if not proved_by_majority(voters, frozenset(gated)):
+                if not self._has_majorities(frozenset(gated)):
                     # A member that returned may have proved the old primary to others meanwhile.
                     majority_s = None
                 elif majority_s is None:
                     majority_s = now_s()
                 if majority_s is not None and now_s() - majority_s > PROOF_S + PROOF_MARGIN_S:
-                    self._log("hosts_not_gated", hosts=sorted(voters - gated))
+                    self._log("hosts_not_gated", hosts=sorted(members - gated))
                     return True
-                for host in voters - asks.keys() - {self._parts.host}:
+                for host in members - asks.keys() - {self._parts.host}:
                     asks[host] = asyncio.ensure_future(self._gate(host, grace_s))
                 await sleep_s(COUNT_S)
             return False
@@ -216,6 +218,10 @@
             for ask in (*asks.values(), own):
                 ask.cancel()
 
+    def _has_majorities(self, gated: frozenset[str]) -> bool:
+        electorates = self._parts.electorates()
+        return all(proved_by_majority(voters, gated) for voters in electorates)
+
     async def _gate(self, host: str, grace_s: float) -> None:
         request = GateRequest(self._request.service, self._epoch, int(grace_s * 1000))
         while True:
@@ -331,7 +337,7 @@
         took_s = round(now_s() - self._started_s, 3)
         self._log("switch_done", primary=primary, took_s=took_s)
         notice = PrimaryNotice(service, self._epoch, primary)
-        for host in self._parts.voters() - {self._parts.host}:
+        for host in self._parts.members() - {self._parts.host}:
             await self._parts.link.send(host, notice)
         await self._record(record, revision)
 
--- a/libs/limits/src/pistachiowinch/limits/rates.py
+++ b/libs/limits/src/pistachiowinch/limits/rates.py
@@ -27,6 +27,7 @@
     RateLimit,
 )
 from pistachiowinch.limits.counters import limit_counters
+from pistachiowinch.limits.homes import RateHomes
 from pistachiowinch.limits.messages import BorrowAnswer, BorrowRequest, LoanReport
 from pistachiowinch.links.peers import PeerLink, PeerUnreachable
 
@@ -182,6 +183,8 @@
     :param policy: :class:`Borrowing`, or the baseline :class:`EqualSplit`.
     :param read_share: returns the current share, read each 0.1 s by :meth:`run`; None if the
         caller uses only :meth:`set_share`.
+    :param homes: divides each rate between its customer's homes, of which this host's share is a
+        part; None if every host has the same share of all rates.
     """
 
     def __init__(
@@ -191,6 +194,7 @@
         metrics: Metrics | None = None,
         policy: RatePolicy | None = None,
         read_share: Callable[[], float] | None = None,
+        homes: RateHomes | None = None,
     ) -> None:
         """Create an escrow without customers, share or peers."""
         self._host = host
@@ -198,6 +202,7 @@
         self._counters = limit_counters(metrics or Metrics())
         self._policy = policy or Borrowing()
         self._read_share = read_share
+        self._homes = homes
         self._share = 0.0
         self._peers: tuple[str, ...] = ()
         self._customers: dict[str, _Customer] = {}
@@ -239,8 +244,11 @@
         if share == self._share:
             return
         self._share = share
-        for state in self._customers.values():
-            state.bucket.configure(state.bucket.limit, share, now_s())
+        self._configure_parts()
+
+    def take_homes(self) -> None:
+        """Take the parts of this host after the homes changed."""
+        self._configure_parts()
 
     def resume(self, since_s: float) -> None:
         """Take over the parts of this host's previous run, which ended before a time.
@@ -328,18 +336,35 @@
     def _set_limit(self, customer: str, limit: RateLimit) -> None:
         state = self._customers.get(customer)
         if state is None:
-            bucket = CustomerBucket(limit, self._share, now_s(), self._quiet_until_s)
+            part = self._part(customer)
+            bucket = CustomerBucket(limit, part, now_s(), self._quiet_until_s)
             self._customers[customer] = _Customer(customer, bucket, now_s())
             return
         state.is_removed = False
         if limit != state.bucket.limit:
-            state.bucket.configure(limit, self._share, now_s())
+            state.bucket.configure(limit, self._part(customer), now_s())
+
+    def _part(self, customer: str) -> float:
+        """Return this host's part of a customer's rate."""
+        return self._share if self._homes is None else self._share * self._homes.part(customer)
+
+    def _configure_parts(self) -> None:
+        for customer, state in self._customers.items():
+            part = self._part(customer)
+            if part != state.bucket.share:
+                state.bucket.configure(state.bucket.limit, part, now_s())
+
+    def _lenders(self, customer: str) -> tuple[str, ...]:
+        """Return the other hosts that hold parts of a customer's rate."""
+        if self._homes is None:
+            return self._peers
+        return tuple(host for host in self._homes.of(customer) if host != self._host)
 
     def _remove(self, state: _Customer) -> None:
         # The entry stays until its loans have ended: a customer that is added again must not
         # start with a full part while lent tokens are still in use.
         state.is_removed = True
-        state.bucket.configure(RateLimit(0.0, 0.0), self._share, now_s())
+        state.bucket.configure(RateLimit(0.0, 0.0), state.bucket.share, now_s())
         while state.waiters:
             waiter = state.pop_waiter()
             if not waiter.done():
@@ -435,14 +460,15 @@
         if limit.burst <= 0.0:
             return 0.0
         parts = bucket.total - need
-        for peer in self._peers:
+        lenders = self._lenders(state.name)
+        for peer in lenders:
             known = state.fullness.get(peer)
             part = 1.0
             if known is not None:
                 elapsed_s = now_s() - known.at_s
                 part = min(known.part + elapsed_s * limit.rate_per_s / limit.burst, 1.0)
             parts += part * bucket.capacity
-        return max(parts / (len(self._peers) + 1), 0.0)
+        return max(parts / (len(lenders) + 1), 0.0)
 
     def _start_rounds(self, state: _Customer) -> None:
         if state.rounds is None:
@@ -496,18 +522,21 @@
                 pass
         state.last_round_s = now_s()
         wanted = self._wanted(state)
-        peers = self._answering_peers()
+        peers = self._answering_peers(state)
         if wanted <= 0.0 or not peers or now_s() < state.hold_off_until_s:
             return
+        if not is_urgent and state.bucket.share <= 0.0:
+            # Hosts without a part need whole tokens seldom, and one lender usually has them.
+            peers = (random.choice(peers),)
         part = wanted if is_urgent else wanted / len(peers)
         asks = [self._spawn(self._ask(state, peer, part, is_urgent)) for peer in peers]
         await asyncio.wait(asks, timeout=ROUND_S)
 
-    def _answering_peers(self) -> tuple[str, ...]:
+    def _answering_peers(self, state: _Customer) -> tuple[str, ...]:
         at_s = now_s()
         return tuple(
             peer
-            for peer in self._peers
+            for peer in self._lenders(state.name)
             if peer not in self._silent or self._silent[peer].until_s <= at_s
         )
 
--- a/libs/links/src/pistachiowinch/links/store.py
+++ b/libs/links/src/pistachiowinch/links/store.py
@@ -13,6 +13,7 @@
     "KeyValue",
     "Operation",
     "PollingStore",
+    "PrefixSource",
     "Put",
     "Snapshot",
     "Store",
@@ -140,24 +141,30 @@
     """All keys under a prefix.
 
     :param revision: changes after it may be missing from ``items``.
+    :param proved_s: loop time at which ``items`` were complete; None if that was not before the
+        call was made.
     """
 
     items: tuple[KeyValue, ...]
     revision: int
+    proved_s: float | None = None
 
 
 class ChangeBatch(NamedTuple):
     """Changes under a prefix.
 
     :param revision: where the next call continues.
+    :param proved_s: loop time up to which the changes are complete; None if that follows from the
+        times of the call and of its wait.
     """
 
     events: tuple[WatchEvent, ...]
     revision: int
+    proved_s: float | None = None
 
 
-class PollingStore(KeyStore, Protocol):
-    """Client of a store whose watches are long polls."""
+class PrefixSource(Protocol):
+    """Where the keys under a prefix and their changes can be read."""
 
     async def read_prefix(self, prefix: str) -> Snapshot:
         """Read all keys under a prefix, and the revision from which changes follow."""
@@ -169,5 +176,9 @@
         :raises HistoryLost: if the history no longer reaches back to ``after_revision``.
         """
 
+
+class PollingStore(KeyStore, PrefixSource, Protocol):
+    """Client of a store whose watches are long polls."""
+
     async def end_lease(self, lease: int) -> None:
         """End a lease; its keys are removed."""
--- a/libs/peering/src/pistachiowinch/peering/membership.py
+++ b/libs/peering/src/pistachiowinch/peering/membership.py
@@ -76,6 +76,7 @@
     :param local_state: returns what this host's heartbeats state now.
     :param host_list: proposes addresses of hosts outside the roster; None for none.
     :param metrics: counts dropped heartbeats as peer messages of direction ``dropped``.
+    :param states_hosts: whether heartbeats state which hosts this one hears.
     """
 
     def __init__(
@@ -85,8 +86,11 @@
         local_state: Callable[[], LocalState],
         host_list: HostList | None = None,
         metrics: Metrics | None = None,
+        states_hosts: bool = True,
     ) -> None:
         """Create a view without members; :meth:`run` starts the heartbeats."""
+        self._states_hosts = states_hosts
+        self._others: dict[str, str] = {}
         self._identity = identity
         self._link = link
         self._local_state = local_state
@@ -96,6 +100,7 @@
         self._proposed: dict[str, str] = {}
         self._leaving: frozenset[str] = frozenset()
         self._addresses: dict[str, str] = {}
+        self._reachable: dict[str, str] = {}
         self._records: dict[str, PeerRecord] = {}
         self._tasks: dict[str, asyncio.Task] = {}
         self._is_running = False
@@ -150,13 +155,17 @@
         }
         return frozenset(fresh | {self._identity.host})
 
-    def set_members(self, members: Iterable[HostIdentity]) -> None:
+    def set_members(
+        self, members: Iterable[HostIdentity], others: Iterable[HostIdentity] = ()
+    ) -> None:
         """Take the roster's members and their addresses.
 
         :param members: all members; this host may or may not be one of them.
+        :param others: hosts that get messages, but no heartbeats.
         """
         self._members = {member.host: member for member in members}
         self._members.pop(self._identity.host, None)
+        self._others = {other.host: other.peer_url for other in others}
         self._refresh_peers()
 
     def set_identity(self, identity: HostIdentity) -> None:
@@ -214,9 +223,11 @@
                 break
             # The list lags, so a member's address is always taken from the roster.
             addresses.setdefault(host, address)
-        if addresses != self._addresses:
-            self._addresses = addresses
-            self._link.set_addresses(addresses)
+        self._addresses = addresses
+        reachable = self._others | addresses
+        if reachable != self._reachable:
+            self._reachable = reachable
+            self._link.set_addresses(reachable)
         for host in tuple(self._records):
             if host not in addresses:
                 self._forget(host)
@@ -277,10 +288,11 @@
             config_version=state.config_version,
             store_age_ms=state.store_age_ms,
             suspected_targets=tuple(state.suspected_targets),
-            suspected_hosts=tuple(sorted(self.suspected_hosts)),
+            suspected_hosts=tuple(sorted(self.suspected_hosts)) if self._states_hosts else (),
             primaries=state.primaries,
-            heard=self._heard(),
+            heard=self._heard() if self._states_hosts else (),
             config_pending=state.config_pending,
+            followed=state.followed or {},
         )
 
     def _heard(self) -> tuple[str, ...]:
--- a/libs/peering/src/pistachiowinch/peering/messages.py
+++ b/libs/peering/src/pistachiowinch/peering/messages.py
@@ -31,6 +31,8 @@
     :param heard: hosts heard from within the last intervals.
     :param config_pending: highest configuration version that this host knows or must assume to be
         accepted; above ``config_version`` the sender does not confirm its own version.
+    :param followed: revision of the newest change that the sender's copy of a prefix of the store
+        has, for the prefixes that it can tell others.
     """
 
     host: str
@@ -46,6 +48,7 @@
     primaries: dict[str, AnnouncedPrimary] = {}
     heard: tuple[str, ...] = ()
     config_pending: int = 0
+    followed: dict[str, int] = {}
 
 
 class ShortHeartbeat(msgspec.Struct, tag="sh", array_like=True, frozen=True):
@@ -73,6 +76,7 @@
     suspected_targets: tuple[str, ...]
     primaries: dict[str, AnnouncedPrimary]
     config_pending: int = 0
+    followed: dict[str, int] | None = None
 
 
 class ReceivedHeartbeat(NamedTuple):
--- a/libs/peering/src/pistachiowinch/peering/pynng_link.py
+++ b/libs/peering/src/pistachiowinch/peering/pynng_link.py
@@ -137,6 +137,7 @@
         """Create a link that is not listening yet."""
         super().__init__(host, metrics, listen_url)
         self._listen_url = listen_url
+        self._addresses: dict[str, str] = {}
         self._peers: dict[str, _Outgoing] = {}
         self._learned: dict[str, _Outgoing] = {}
         self._closing: set[asyncio.Task] = set()
@@ -173,19 +174,16 @@
         await asyncio.gather(*(peer.close() for peer in outgoing), *self._closing)
 
     def set_addresses(self, addresses: Mapping[str, str]) -> None:
-        """Replace the peers and their addresses.
+        """Replace the peers and their addresses; a peer is dialled when it gets a message.
 
         :param addresses: host names and ``tcp://IP:PORT``; this host's own entry is ignored.
         """
+        self._addresses = {host: url for host, url in addresses.items() if host != self.host}
         for host in tuple(self._peers):
             if addresses.get(host) != self._peers[host].address:
                 self._discard(self._peers.pop(host))
-        for host, address in addresses.items():
-            if host != self.host and host not in self._peers:
-                self._peers[host] = _Outgoing(address, self._count_dropped)
-                learned = self._learned.pop(host, None)
-                if learned is not None:
-                    self._discard(learned)
+        for host in self._learned.keys() & self._addresses.keys():
+            self._discard(self._learned.pop(host))
 
     def renew(self, host: str) -> None:
         """Replace the connection to a peer from which no fresh echo arrives."""
@@ -195,6 +193,8 @@
 
     def _transmit(self, host: str, data: bytes) -> None:
         peer = self._peers.get(host) or self._learned.get(host)
+        if peer is None and host in self._addresses:
+            peer = self._peers[host] = _Outgoing(self._addresses[host], self._count_dropped)
         if peer is None:
             self._count_dropped("no_address")
         else:
@@ -202,7 +202,7 @@
 
     def _learn_address(self, host: str, address: str) -> None:
         # The roster's address of a known peer is never overridden by what a message states.
-        if host in self._peers or not address.startswith("tcp://"):
+        if host in self._addresses or not address.startswith("tcp://"):
             return
         known = self._learned.pop(host, None)
         if known is not None and known.address != address:
