Specify the change of voters; refute it without each of its guards

A host that does not vote, three voters replaced by three others, one switch: without the previous voters' majority, the late settling, the bound on time away, or the wait for proofs, the checker finds a host that uses the old primary after the promotion. With all of them none up to 15 steps.

Found while writing: with two steps away the wait for proofs alone covers the settling, so the scope has three.

--- a/tests/model/test_checker.py
+++ b/tests/model/test_checker.py
@@ -8,6 +8,7 @@
 import pytest
 
 from pistachiowinch.model.checker import Specification, check
+from pistachiowinch.model.council import CouncilGuard, CouncilSpecification
 from pistachiowinch.model.escrow import EscrowGuard, EscrowSpecification
 from pistachiowinch.model.ledger import LedgerGuard, LedgerSpecification
 from pistachiowinch.model.promotion import PromotionGuard, PromotionSpecification
@@ -24,6 +25,7 @@
     _Case(LedgerSpecification(), 16),
     _Case(EscrowSpecification(), 16),
     _Case(SwitchoverSpecification(), 15),
+    _Case(CouncilSpecification(), 15),
 ]
 
 # The depth of each shortest violation; terms are reduced where two suffice.
@@ -45,6 +47,7 @@
     *(_Case(LedgerSpecification(guard), 8) for guard in LedgerGuard),
     *(_Case(EscrowSpecification(guard), 16) for guard in EscrowGuard),
     *(_Case(SwitchoverSpecification(guard), 14) for guard in SwitchoverGuard),
+    *(_Case(CouncilSpecification(guard), 14) for guard in CouncilGuard),
 ]
 
 
