Halve the heartbeats of large fleets; spare reports and polls

Change: a host that does not vote sends heartbeats each 0.4 s and is answered at once, so its evidence is as young as before. A host away from a rate's homes reports only tokens that it returns. Polls of the store end when the council makes them. Hosts that do not vote look each 0.5 s for something to decide.

--- a/libs/entry/src/pistachiowinch/entry/host.py
+++ b/libs/entry/src/pistachiowinch/entry/host.py
@@ -55,8 +55,8 @@
 DRAIN_SLACK_S = 0.25
 # A host of the council that was not heard for this long, five heartbeats, is not asked.
 COUNCIL_HEARD_S = 1.0
-# Hosts of a new fleet register within a second, each with a change that all others read.
-GATHER_S = 0.05
+# Hosts and targets of a new fleet register within a second or two, each with a change that all
+# hosts read as long as there is no council.
 GATHER_NEW_FLEET_S = 0.4
 # Bits of the random number that tells one run of a host from the next.
 RUN_BITS = 47
@@ -163,10 +163,21 @@
         )
         self._prober = TargetProber(self.view, health, links.targets)
         self._operators = PrefixFollower(
-            self._relay, self._documents.operators_prefix, self._on_operators, log
+            self._relay,
+            self._documents.operators_prefix,
+            self._on_operators,
+            log,
+            self._gather_s,
         )
         self._registry = TargetRegistry(
-            self._relay, self._documents, self.view, self._connections, health, self._primaries, log
+            self._relay,
+            self._documents,
+            self.view,
+            self._connections,
+            health,
+            self._primaries,
+            log,
+            self._gather_s,
         )
         self._changes = ChangeServer(
             {
@@ -201,7 +212,13 @@
             self._primaries,
             self.parts.health,
         )
-        self._supervisor = SwitchSupervisor(parts, self._views_if_able, self._group_views.rank, log)
+        self._supervisor = SwitchSupervisor(
+            parts,
+            self._views_if_able,
+            self._group_views.rank,
+            log,
+            lambda: self._council.is_voter,
+        )
         self._link.on_request(GateRequest, GateAnswer, self._on_gate)
         self._link.on_message(PrimaryNotice, self._on_notice)
         self._membership.heartbeats.subscribe(self._on_heartbeat)
@@ -265,7 +282,13 @@
         groups = (key for key in keys if key.startswith(GROUPS_PREFIX))
         self._adopt_all(items[key] for key in groups if key in items)
         self._council.take(self._fleet)
-        self._membership.set_members(self._council.partners, self._hosts.members)
+        self._relay.give_up_polls()
+        self._membership.set_members(
+            self._council.partners,
+            self._hosts.members,
+            self._council.answered,
+            self._council.asks,
+        )
         if self._homes.set_hosts(self._hosts.names):
             self._rates.take_homes()
 
@@ -279,7 +302,7 @@
         return [r for r in last if r is not None and r.received_s >= oldest_s]
 
     def _gather_s(self) -> float:
-        return GATHER_NEW_FLEET_S if self._council.is_missing else GATHER_S
+        return GATHER_NEW_FLEET_S if self._council.is_missing else 0.0
 
     def _adopt_all(self, items: Iterable[KeyValue]) -> None:
         for item in items:
--- a/libs/entry/src/pistachiowinch/entry/registry.py
+++ b/libs/entry/src/pistachiowinch/entry/registry.py
@@ -1,6 +1,6 @@
 """Keeps the known targets equal to the registry, through outages of the store."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from pistachiowinch.base.clock import now_s
 from pistachiowinch.base.decisions import DecisionLog
@@ -29,6 +29,7 @@
     :param health: forgets targets that are gone.
     :param primaries: takes the registry's word until the first switch.
     :param log: decisions of this part.
+    :param gather_s: returns the pause after a change, in which further changes gather.
     """
 
     def __init__(
@@ -40,6 +41,7 @@
         health: TargetHealth,
         primaries: PrimaryTable,
         log: DecisionLog,
+        gather_s: Callable[[], float],
     ) -> None:
         """Create a registry that is not read yet."""
         self._documents = documents
@@ -49,7 +51,9 @@
         self._primaries = primaries
         self._log = log
         self._keeps_missing = False
-        self.follower = PrefixFollower(store, documents.targets_prefix, self._on_change, log)
+        self.follower = PrefixFollower(
+            store, documents.targets_prefix, self._on_change, log, gather_s
+        )
 
     def drop_missing(self) -> None:
         """Drop targets whose entries did not return after an outage."""
--- a/libs/fleet/src/pistachiowinch/fleet/council.py
+++ b/libs/fleet/src/pistachiowinch/fleet/council.py
@@ -125,6 +125,18 @@
             return members
         return tuple(member for member in members if member.host in self._voters)
 
+    @property
+    def answered(self) -> frozenset[str]:
+        """Hosts whose heartbeats this one answers, instead of sending its own in time."""
+        if self.record is None or not self.is_voter:
+            return frozenset()
+        return self._hosts.names - self._voters
+
+    @property
+    def asks(self) -> bool:
+        """Whether the partners answer this host's heartbeats at once."""
+        return self.record is not None and not self.is_voter
+
     def take(self, follower: PrefixFollower) -> None:
         """Take the record that the store holds now."""
         item = follower.items.get(COUNCIL_KEY)
--- a/libs/fleet/src/pistachiowinch/fleet/relaying.py
+++ b/libs/fleet/src/pistachiowinch/fleet/relaying.py
@@ -108,14 +108,24 @@
         self._relayed_s = -math.inf
         self._next_direct_s: dict[str, float] = {}
         self._news: dict[str, tuple[int, asyncio.Future[None]]] = {}
+        self._polls: set[asyncio.Future[None]] = set()
 
     def note(self, received: ReceivedHeartbeat) -> None:
         """Wake who waits for what a heartbeat says is there."""
+        if received.heartbeat.followed and received.heartbeat.store_age_ms >= 0:
+            self._relayed_s = now_s()
         for prefix, (after_revision, future) in self._news.items():
             revision = received.heartbeat.followed.get(prefix, _ALL_KEYS)
             if revision > after_revision and not future.done():
                 future.set_result(None)
 
+    def give_up_polls(self) -> None:
+        """End polls of the store that others make for this host from now on."""
+        if not self._is_direct():
+            for poll in self._polls:
+                if not poll.done():
+                    poll.set_result(None)
+
     async def read_prefix(self, prefix: str) -> Snapshot:
         """Read all keys under a prefix."""
         partners = self._partners(prefix)
@@ -129,7 +139,7 @@
         """Wait for changes under a prefix."""
         partners = self._partners(prefix)
         if not partners:
-            return await self._store.changes(prefix, after_revision, wait_s)
+            return await self._poll(prefix, after_revision, wait_s)
         ahead = _ahead(partners, prefix, after_revision)
         if not ahead:
             await self._wait_for_news(prefix, after_revision, min(wait_s, RELAY_LOOK_S))
@@ -156,7 +166,6 @@
             if received.heartbeat.store_age_ms >= 0 and prefix in received.heartbeat.followed
         ]
         if reaching:
-            self._relayed_s = now_s()
             return reaching
         is_early = now_s() - self._relayed_s < RELAY_PATIENCE_S
         if is_early or now_s() < self._next_direct_s.get(prefix, -math.inf):
@@ -164,6 +173,20 @@
         self._next_direct_s[prefix] = now_s() + DIRECT_PAUSE_S * random.uniform(0.5, 1.5)
         return []
 
+    async def _poll(self, prefix: str, after_revision: int, wait_s: float) -> ChangeBatch:
+        """Poll the store until it answers or the poll is given up."""
+        given_up = asyncio.get_running_loop().create_future()
+        poll = asyncio.ensure_future(self._store.changes(prefix, after_revision, wait_s))
+        self._polls.add(given_up)
+        try:
+            await asyncio.wait((poll, given_up), return_when=asyncio.FIRST_COMPLETED)
+            if poll.done():
+                return poll.result()
+            return ChangeBatch((), after_revision, -math.inf)
+        finally:
+            self._polls.discard(given_up)
+            poll.cancel()
+
     async def _wait_for_news(self, prefix: str, after_revision: int, wait_s: float) -> None:
         future = asyncio.get_running_loop().create_future()
         self._news[prefix] = (after_revision, future)
--- a/libs/fleet/src/pistachiowinch/fleet/supervision.py
+++ b/libs/fleet/src/pistachiowinch/fleet/supervision.py
@@ -13,6 +13,8 @@
 
 # Looking costs little; it adds half of this to the time without a primary.
 LOOK_S = 0.1
+# A host that does not vote may become a voter; it acts half a second later at the latest.
+IDLE_LOOK_S = 0.5
 # One more heartbeat of each host after most of them suspect the primary.
 MAJORITY_SUSPECTS_S = 0.25
 # A primary that some hosts still use is worth waiting for, about as long as a switch stops them.
@@ -75,6 +77,7 @@
     :param views: returns the current views.
     :param rank: returns this host's place in the order of hosts that act, 0 for the first.
     :param log: decisions of this part.
+    :param is_voter: whether this host votes, so that its views may give it something to do.
     """
 
     def __init__(
@@ -83,8 +86,10 @@
         views: Callable[[], list[GroupView]],
         rank: Callable[[], int],
         log: DecisionLog,
+        is_voter: Callable[[], bool] = lambda: True,
     ) -> None:
         """Create a supervisor; :meth:`run` starts it."""
+        self._is_voter = is_voter
         self._parts = parts
         self._views = views
         self._rank = rank
@@ -99,7 +104,7 @@
             while True:
                 for view in self._views():
                     self._look(view)
-                await sleep_s(LOOK_S)
+                await sleep_s(LOOK_S if self._is_voter() else IDLE_LOOK_S)
         finally:
             for task in self._running.values():
                 task.cancel()
--- a/libs/limits/src/pistachiowinch/limits/bucket.py
+++ b/libs/limits/src/pistachiowinch/limits/bucket.py
@@ -47,18 +47,23 @@
 class _Lent:
     __slots__ = ("borrower", "counted_until_s", "is_reported", "outstanding", "returned")
 
-    def __init__(self, borrower: str, amount: float, counted_until_s: float) -> None:
+    def __init__(
+        self, borrower: str, amount: float, counted_until_s: float, is_final: bool
+    ) -> None:
         self.borrower = borrower
-        self.is_reported = False
+        self.is_reported = is_final
         self.outstanding = amount
         self.returned = 0.0
         self.counted_until_s = counted_until_s
 
 
 class _Borrowed:
-    __slots__ = ("expires_s", "lender", "loan", "remaining", "returned")
+    __slots__ = ("expires_s", "is_final", "lender", "loan", "remaining", "returned")
 
-    def __init__(self, lender: str, loan: int, remaining: float, expires_s: float) -> None:
+    def __init__(
+        self, lender: str, loan: int, remaining: float, expires_s: float, is_final: bool
+    ) -> None:
+        self.is_final = is_final
         self.lender = lender
         self.loan = loan
         self.remaining = remaining
@@ -174,9 +179,12 @@
         self.advance(now_s)
         self.level += min(1.0, self.room)
 
-    def lend(self, borrower: str, loan: int, amount: float, now_s: float) -> float:
+    def lend(
+        self, borrower: str, loan: int, amount: float, now_s: float, is_final: bool = False
+    ) -> float:
         """Debit tokens for a loan.
 
+        :param is_final: whether no report is due if the loan is spent.
         :returns: how much was lent, at most ``amount``.
         """
         self.advance(now_s)
@@ -184,7 +192,7 @@
         if lent <= EPSILON:
             return 0.0
         self.level -= lent
-        self._lent[loan] = _Lent(borrower, lent, now_s + LOAN_COUNTED_S)
+        self._lent[loan] = _Lent(borrower, lent, now_s + LOAN_COUNTED_S, is_final)
         return lent
 
     def settle(self, state: LoanState, now_s: float) -> bool:
@@ -205,10 +213,21 @@
         self.level += min(back, self.room)
         return True
 
-    def borrow(self, lender: str, loan: int, amount: float, expires_s: float, now_s: float) -> None:
-        """Take a loan; one that arrives too late is given back unused."""
+    def borrow(
+        self,
+        lender: str,
+        loan: int,
+        amount: float,
+        expires_s: float,
+        now_s: float,
+        is_final: bool = False,
+    ) -> None:
+        """Take a loan; one that arrives too late is given back unused.
+
+        :param is_final: whether only what is given back is reported.
+        """
         self.advance(now_s)
-        entry = _Borrowed(lender, loan, amount, expires_s)
+        entry = _Borrowed(lender, loan, amount, expires_s, is_final)
         if now_s >= expires_s:
             self._give_back(entry, amount)
             return
@@ -314,6 +333,8 @@
         self._note(entry)
 
     def _note(self, entry: _Borrowed) -> None:
+        if entry.is_final and entry.returned <= EPSILON:
+            return
         state = LoanState(entry.loan, entry.remaining, entry.returned)
         self._reports.setdefault(entry.lender, {})[entry.loan] = state
 
--- a/libs/limits/src/pistachiowinch/limits/messages.py
+++ b/libs/limits/src/pistachiowinch/limits/messages.py
@@ -24,6 +24,8 @@
     :param wanted: tokens wanted from this peer.
     :param is_urgent: whether an earlier ask did not bring enough, so the lender keeps no reserve.
     :param settled: what changed in earlier loans of this lender.
+    :param is_final: whether the borrower only reports what it returns; a loan that it spends counts
+        until its time is over.
     """
 
     customer: str
@@ -31,6 +33,7 @@
     wanted: float
     is_urgent: bool
     settled: tuple[LoanState, ...] = ()
+    is_final: bool = False
 
 
 class BorrowAnswer(msgspec.Struct, tag="ba", array_like=True, frozen=True):
--- a/libs/limits/src/pistachiowinch/limits/rates.py
+++ b/libs/limits/src/pistachiowinch/limits/rates.py
@@ -570,7 +570,10 @@
         ask = state.asks.get(peer)
         if ask is None or ask.is_answered or now_s() - ask.sent_s > REPEAT_S:
             settled = state.bucket.take_reports(peer)
-            request = BorrowRequest(state.name, self._number(), wanted, is_urgent, settled)
+            is_final = state.bucket.share <= 0.0
+            request = BorrowRequest(
+                state.name, self._number(), wanted, is_urgent, settled, is_final
+            )
             ask = _Ask(request, now_s())
             state.asks[peer] = ask
         remaining_s = ask.sent_s + LOAN_USABLE_S - now_s()
@@ -593,7 +596,9 @@
                 self._note_late(peer)
             else:
                 self._silent.pop(peer, None)
-            state.bucket.borrow(peer, answer.loan, answer.amount, expires_s, now_s())
+            state.bucket.borrow(
+                peer, answer.loan, answer.amount, expires_s, now_s(), ask.request.is_final
+            )
             self._counters.tokens("borrowed", answer.amount)
         self._serve(state)
         if state.rounds is None:
@@ -632,7 +637,8 @@
         if wasteful:
             amount *= PROBE_PART
         loan = self._number()
-        lent = bucket.lend(borrower, loan, min(amount, request.wanted), now_s())
+        amount = min(amount, request.wanted)
+        lent = bucket.lend(borrower, loan, amount, now_s(), request.is_final)
         self._counters.tokens("lent", lent)
         return BorrowAnswer(loan if lent > 0.0 else 0, lent, bucket.fullness)
 
--- a/libs/peering/src/pistachiowinch/peering/membership.py
+++ b/libs/peering/src/pistachiowinch/peering/membership.py
@@ -35,6 +35,8 @@
 ]
 
 HEARTBEAT_INTERVAL_S = 0.2
+# A host that is answered at once has evidence that is young enough with half of the heartbeats.
+ASKING_INTERVAL_S = 0.4
 SUSPECT_AFTER_S = 1.0
 # Two intervals, so that one lost heartbeat does not remove a host from the list of heard ones.
 HEARD_WITHIN_S = 0.4
@@ -58,6 +60,28 @@
     return random.SystemRandom().getrandbits(ANONYMOUS_SEQUENCE_BITS)
 
 
+class _Renewal:
+    """Tells when the connection to a peer has had no fresh echo for so long that it is replaced.
+
+    :param at_s: loop time from which silence counts.
+    """
+
+    def __init__(self, at_s: float) -> None:
+        self._renew_s = RENEW_AFTER_S
+        self._renewed_s = at_s
+
+    def is_due(self, record: PeerRecord) -> bool:
+        """Note a heartbeat that was sent; tell whether to replace the connection now."""
+        fresh_s = max(self._renewed_s, record.evidence_s or record.known_since_s)
+        if now_s() - fresh_s < RENEW_AFTER_S and fresh_s != self._renewed_s:
+            self._renew_s = RENEW_AFTER_S
+        elif now_s() - fresh_s >= self._renew_s:
+            self._renewed_s = now_s()
+            self._renew_s = min(2.0 * self._renew_s, RENEW_MAX_S)
+            return True
+        return False
+
+
 class AddressedPeerLink(PeerLink, Protocol):
     """A peer link that needs the peers' addresses."""
 
@@ -91,6 +115,9 @@
         """Create a view without members; :meth:`run` starts the heartbeats."""
         self._states_hosts = states_hosts
         self._others: dict[str, str] = {}
+        self._interval_s = HEARTBEAT_INTERVAL_S
+        self._answered: frozenset[str] = frozenset()
+        self._renewals: dict[str, _Renewal] = {}
         self._identity = identity
         self._link = link
         self._local_state = local_state
@@ -103,6 +130,7 @@
         self._reachable: dict[str, str] = {}
         self._records: dict[str, PeerRecord] = {}
         self._tasks: dict[str, asyncio.Task] = {}
+        self._replies: set[asyncio.Task] = set()
         self._is_running = False
         # One counter for all peers: it keeps growing when a peer is forgotten and added again.
         self._sequence = _first_sequence(identity.incarnation)
@@ -156,13 +184,21 @@
         return frozenset(fresh | {self._identity.host})
 
     def set_members(
-        self, members: Iterable[HostIdentity], others: Iterable[HostIdentity] = ()
+        self,
+        members: Iterable[HostIdentity],
+        others: Iterable[HostIdentity] = (),
+        answered: frozenset[str] = frozenset(),
+        asks: bool = False,
     ) -> None:
         """Take the roster's members and their addresses.
 
         :param members: all members; this host may or may not be one of them.
         :param others: hosts that get messages, but no heartbeats.
+        :param answered: members that send heartbeats and get one back for each.
+        :param asks: whether the members answer this host's heartbeats in that way.
         """
+        self._interval_s = ASKING_INTERVAL_S if asks else HEARTBEAT_INTERVAL_S
+        self._answered = answered
         self._members = {member.host: member for member in members}
         self._members.pop(self._identity.host, None)
         self._others = {other.host: other.peer_url for other in others}
@@ -236,6 +272,7 @@
 
     def _forget(self, host: str) -> None:
         del self._records[host]
+        self._renewals.pop(host, None)
         task = self._tasks.pop(host, None)
         if task is not None:
             task.cancel()
@@ -243,31 +280,36 @@
     def _start_peer(self, host: str) -> None:
         if host not in self._records:
             self._records[host] = PeerRecord(now_s())
-        if self._is_running and host not in self._tasks:
+            self._renewals[host] = _Renewal(now_s())
+        if host in self._answered:
+            task = self._tasks.pop(host, None)
+            if task is not None:
+                task.cancel()
+        elif self._is_running and host not in self._tasks:
             task = asyncio.get_running_loop().create_task(self._exchange(host))
             self._tasks[host] = task
 
     async def _exchange(self, host: str) -> None:
         record = self._records[host]
-        renew_s = RENEW_AFTER_S
-        renewed_s = now_s()
         next_s = now_s()
         while True:
             await self._beat(host, record)
-            fresh_s = max(renewed_s, record.evidence_s or record.known_since_s)
-            if now_s() - fresh_s < RENEW_AFTER_S and fresh_s != renewed_s:
-                renew_s = RENEW_AFTER_S
-            elif now_s() - fresh_s >= renew_s:
-                self._link.renew(host)
-                renewed_s = now_s()
-                renew_s = min(2.0 * renew_s, RENEW_MAX_S)
             # After a pause the missed heartbeats are not made up for.
-            next_s = max(next_s + HEARTBEAT_INTERVAL_S, now_s())
+            next_s = max(next_s + self._interval_s, now_s())
             await sleep_s(next_s - now_s())
 
+    def _reply(self, host: str) -> None:
+        """Answer a heartbeat of a host that waits for the answer."""
+        if host in self._answered and self._is_running:
+            task = asyncio.get_running_loop().create_task(self._beat(host, self._records[host]))
+            self._replies.add(task)
+            task.add_done_callback(self._replies.discard)
+
     async def _beat(self, host: str, record: PeerRecord) -> None:
         try:
             await self._link.send(host, record.shorten(self._heartbeat(record)))
+            if self._renewals[host].is_due(record):
+                self._link.renew(host)
         except Exception:
             # A fault in one part's state must not make the whole host look dead for good.
             self._metrics.peer_messages.labels("failed", "hb").inc()
@@ -312,6 +354,7 @@
         elif self._accept(record, heartbeat):
             record.note_full(heartbeat)
             self._heartbeats.on_next(record.last)
+            self._reply(sender)
 
     def _receive_short(self, sender: str, short: ShortHeartbeat) -> None:
         record = self._records.get(sender)
@@ -324,6 +367,7 @@
             self._drop("unknown_content")
         elif self._accept(record, heartbeat):
             self._heartbeats.on_next(record.last)
+            self._reply(sender)
 
     def _accept(self, record: PeerRecord, heartbeat: Heartbeat) -> bool:
         reason = record.accept(heartbeat, self._identity.incarnation, now_s())
--- a/tests/fleet/test_relaying.py
+++ b/tests/fleet/test_relaying.py
@@ -33,6 +33,7 @@
     def __init__(self) -> None:
         """Connect both."""
         log = DecisionLog("test")
+        self.is_direct = False
         self.network = PeerNetwork(1)
         self.stores = {"voter": MemoryStore(), "host": MemoryStore()}
         self.voter = PrefixFollower(self.stores["voter"], PREFIX, lambda *_: None, log)
@@ -43,7 +44,7 @@
         self.relay = RelayedStore(
             self.stores["host"],
             host_link,
-            lambda: False,
+            lambda: self.is_direct,
             lambda: self.heard,
             log,
         )
@@ -171,6 +172,22 @@
     pair.close()
 
 
+async def test_polls_end_when_others_make_them():
+    """Start of menghina-pool-grown: each target that registered woke the polls of all 59 hosts."""
+    pair = Pair()
+    pair.is_direct = True
+    await asyncio.sleep(2.0 * POLL_S)
+    pair.is_direct = False
+    pair.relay.give_up_polls()
+    pair.stores["host"].calls.clear()
+    put(pair.stores["host"], "op/other", b"x")
+    pair.put("op/config", b"1")
+    await asyncio.sleep(BEAT_S + 0.1)
+    assert pair.follower.items.keys() == {"op/config"}
+    assert pair.own_calls == 0
+    pair.close()
+
+
 class SlowSource:
     """A source whose reads take as long as those of the store."""
 
--- a/tests/limits/test_homes.py
+++ b/tests/limits/test_homes.py
@@ -53,9 +53,10 @@
         """Connect all hosts."""
         self.network = PeerNetwork(1)
         self.escrows = {}
+        self.links = {}
         self.tasks = []
         for host in LARGE:
-            link = self.network.link(host)
+            link = self.links[host] = self.network.link(host)
             escrow = RateEscrow(host, link, read_share=lambda: 1.0, homes=homes_of(host, LARGE))
             escrow.set_limits({"carp": limit})
             self.escrows[host] = escrow
@@ -72,6 +73,16 @@
         results = await asyncio.gather(*waits)
         return sum(result.value_or("granted") is None for result in results)
 
+    def messages(self) -> int:
+        """Return how many messages all hosts have sent."""
+        return sum(
+            int(sample.value)
+            for host in LARGE
+            for metric in self.links[host].metrics.peer_messages.collect()
+            for sample in metric.samples
+            if sample.name.endswith("_total") and sample.labels["direction"] == "sent"
+        )
+
     def close(self) -> None:
         """End all tasks."""
         for task in self.tasks:
@@ -97,3 +108,18 @@
     assert granted <= 10.0 + 10.0 * duration_s
     assert granted >= 0.8 * 10.0 * duration_s
     fleet.close()
+
+
+@pytest.mark.looptime
+async def test_a_token_for_a_host_without_a_part_takes_two_messages():
+    """Load of many hosts: messages for tokens were the largest part of an operation's work."""
+    fleet = Fleet(RateLimit(30.0, 30.0))
+    await asyncio.sleep(3.0)
+    away = [host for host, escrow in fleet.escrows.items() if not escrow._homes.part("carp")]
+    before = fleet.messages()
+    for host in away[:10]:
+        result = await fleet.escrows[host].acquire("carp", asyncio.get_running_loop().time() + 0.1)
+        assert result.value_or("refused") is None
+        await asyncio.sleep(0.2)
+    assert fleet.messages() - before <= 2 * 10
+    fleet.close()
--- a/tests/peering/test_membership.py
+++ b/tests/peering/test_membership.py
@@ -9,7 +9,7 @@
 from pistachiowinch.base.identity import HostIdentity
 from pistachiowinch.base.metrics import Metrics
 from pistachiowinch.links.hosts import ListedHost
-from pistachiowinch.peering.membership import Membership
+from pistachiowinch.peering.membership import ASKING_INTERVAL_S, Membership
 from pistachiowinch.peering.messages import LocalState
 from pistachiowinch.standins.peer_network import NetworkFaults, PeerNetwork
 
@@ -265,3 +265,29 @@
     await sleep_s(2.0)
     assert member.contacts(0.5) == {"a", "b"}
     await site.stop()
+
+
+async def test_an_answered_host_has_young_evidence_with_half_of_the_heartbeats():
+    """59 hosts: heartbeats of both sides cost most of an idle host's processor time."""
+    network = PeerNetwork(1)
+    views = {}
+    for name in ("voter", "host"):
+        views[name] = Membership(
+            identity(name), network.link(name), lambda: STATE, states_hosts=False
+        )
+    members = [view.identity for view in views.values()]
+    views["voter"].set_members(members, (), frozenset({"host"}))
+    views["host"].set_members(members, (), frozenset(), True)
+    tasks = [asyncio.ensure_future(view.run()) for view in views.values()]
+    await asyncio.sleep(2.0)
+    received = []
+    views["host"].heartbeats.subscribe(received.append)
+    oldest_s = 0.0
+    for _ in range(100):
+        await asyncio.sleep(0.05)
+        assert views["host"].contacts(ASKING_INTERVAL_S + 0.05) == {"host", "voter"}
+        oldest_s = max(oldest_s, now_s() - views["host"].last_heartbeat("voter").evidence_s)
+    assert oldest_s < ASKING_INTERVAL_S + 0.05
+    assert len(received) <= 5.0 / ASKING_INTERVAL_S + 1
+    for task in tasks:
+        task.cancel()
