End a peer's task also when its send swallows the cancellation

The bug is older; since peers are dialled with their first message, more sends are pending when a link stops. A host's planned stop would hang too.

Change: the task looks at a flag that close() sets. A socket that swallows its cancellation is the test; without the change it does not stop within 5 s.

--- a/libs/peering/src/pistachiowinch/peering/pynng_link.py
+++ b/libs/peering/src/pistachiowinch/peering/pynng_link.py
@@ -45,6 +45,7 @@
         self._queued_bytes = 0
         self._wake = asyncio.Event()
         self._is_sending = False
+        self._is_closed = False
         self._socket = self._open()
         self._task = asyncio.get_running_loop().create_task(self._run())
 
@@ -67,6 +68,9 @@
 
     async def close(self) -> None:
         """End the task and close the socket."""
+        # A send that completes while it is cancelled swallows the cancellation.
+        self._is_closed = True
+        self._wake.set()
         self._task.cancel()
         await asyncio.gather(self._task, return_exceptions=True)
         self._socket.close()
@@ -99,10 +103,10 @@
         return True
 
     async def _run(self) -> None:
-        while True:
+        while not self._is_closed:
             await self._wake.wait()
             self._wake.clear()
-            while self._queue:
+            while self._queue and not self._is_closed:
                 queued_s, data = self._pop()
                 self._is_sending = True
                 try:
--- a/tests/peering/test_pynng_link.py
+++ b/tests/peering/test_pynng_link.py
@@ -158,3 +158,33 @@
     await a.stop()
     with pytest.raises(PeerUnreachable):
         await task
+
+
+class _SwallowingSocket:
+    """A socket whose pending send completes just when it is cancelled, as pynng's may."""
+
+    def send(self, data, block):
+        raise pynng.TryAgain("not connected", 0)
+
+    async def asend(self, data):
+        try:
+            await asyncio.sleep(60.0)
+        except asyncio.CancelledError:
+            return
+
+    def close(self):
+        pass
+
+
+async def test_a_send_that_swallows_its_cancellation_does_not_keep_a_host_from_stopping(
+    monkeypatch,
+):
+    """Two test runs of 2026-12-04 hung: the task of a peer went on after it had been cancelled."""
+    monkeypatch.setattr(pynng_link._Outgoing, "_open", lambda self: _SwallowingSocket())
+    link = make_link("a")
+    await link.start()
+    link.set_addresses({"b": "tcp://127.0.0.1:1"})
+    await link.send("b", Note(1))
+    await asyncio.sleep(0.01)
+    async with asyncio.timeout(5.0):
+        await link.stop()
