--- a/libs/entry/src/pistachiowinch/entry/host.py
+++ b/libs/entry/src/pistachiowinch/entry/host.py
@@ -290,7 +290,7 @@
             self._council.asks,
         )
         if self._homes.set_hosts(self._hosts.names):
-            self._rates.take_homes()
+            self._rates.configure_parts()
 
     def _reads_store(self) -> bool:
         """Whether no other host follows the store for this one."""
--- a/libs/limits/src/pistachiowinch/limits/rates.py
+++ b/libs/limits/src/pistachiowinch/limits/rates.py
@@ -244,11 +244,7 @@
         if share == self._share:
             return
         self._share = share
-        self._configure_parts()
-
-    def take_homes(self) -> None:
-        """Take the parts of this host after the homes changed."""
-        self._configure_parts()
+        self.configure_parts()
 
     def resume(self, since_s: float) -> None:
         """Take over the parts of this host's previous run, which ended before a time.
@@ -348,7 +344,8 @@
         """Return this host's part of a customer's rate."""
         return self._share if self._homes is None else self._share * self._homes.part(customer)
 
-    def _configure_parts(self) -> None:
+    def configure_parts(self) -> None:
+        """Take this host's part of each rate anew, after the share or the homes changed."""
         for customer, state in self._customers.items():
             part = self._part(customer)
             if part != state.bucket.share:
