--- a/tests/fleet/test_switching.py
+++ b/tests/fleet/test_switching.py
@@ -182,6 +182,17 @@
     assert world.group.orders[0][2] >= 0.9 + PROOF_S
 
 
+async def test_previous_voters_must_agree_while_hosts_may_rely_on_them():
+    """ONE: found by the model; a host that has not read the change hears the earlier voters only."""
+    world = World()
+    world.hosts.silent = {"s", "t"}
+    electorates = [frozenset("pqr"), frozenset("qst")]
+    world.parts = dataclasses.replace(world.parts, electorates=lambda: tuple(electorates))
+    asyncio.get_running_loop().call_later(3.0, electorates.pop)
+    assert await PrimarySwitch(world.parts, CRASHED).run()
+    assert world.group.orders[0][2] >= 3.0 + PROOF_S
+
+
 async def test_work_under_way_at_another_host_is_waited_for():
     """ONE: a host with an exchange at the old primary has not stopped using it."""
     world = World()
