--- a/tests/fleet/test_switching.py
+++ b/tests/fleet/test_switching.py
@@ -183,7 +183,7 @@
 
 
 async def test_previous_voters_must_agree_while_hosts_may_rely_on_them():
-    """ONE: found by the model; a host that has not read the change hears the earlier voters only."""
+    """ONE: found by the model; a host that has not read the change hears earlier voters only."""
     world = World()
     world.hosts.silent = {"s", "t"}
     electorates = [frozenset("pqr"), frozenset("qst")]
