Follow the store itself for as long as no voter is heard

Ruled out: the removal of lost members and the settling of the record (the record was settled after 15 s).

Change: only failed attempts are paced; polls end when a voter that reaches the store is heard again.

The test of a host that hears no voter failed before.

--- a/libs/fleet/src/pistachiowinch/fleet/relaying.py
+++ b/libs/fleet/src/pistachiowinch/fleet/relaying.py
@@ -35,7 +35,7 @@
 RELAY_TIMEOUT_S = 2.5
 # The store is usually away for everybody; a host that looks for itself only adds calls.
 RELAY_PATIENCE_S = 4.0
-# Pause between own attempts after that, from half to one and a half times as long.
+# Pause between own attempts that fail after that, from half to one and a half times as long.
 DIRECT_PAUSE_S = 3.0
 
 _ALL_KEYS = -1
@@ -114,6 +114,7 @@
         """Wake who waits for what a heartbeat says is there."""
         if received.heartbeat.followed and received.heartbeat.store_age_ms >= 0:
             self._relayed_s = now_s()
+            self.give_up_polls()
         for prefix, (after_revision, future) in self._news.items():
             revision = received.heartbeat.followed.get(prefix, _ALL_KEYS)
             if revision > after_revision and not future.done():
@@ -130,7 +131,9 @@
         """Read all keys under a prefix."""
         partners = self._partners(prefix)
         if not partners:
-            return await self._store.read_prefix(prefix)
+            snapshot = await self._store.read_prefix(prefix)
+            self._next_direct_s.pop(prefix, None)
+            return snapshot
         answer, proved_s = await self._ask(partners, prefix, _ALL_KEYS)
         items = (KeyValue(key.key, key.value or b"", key.revision) for key in answer.keys)
         return Snapshot(tuple(items), answer.revision, proved_s)
@@ -181,7 +184,9 @@
         try:
             await asyncio.wait((poll, given_up), return_when=asyncio.FIRST_COMPLETED)
             if poll.done():
-                return poll.result()
+                batch = poll.result()
+                self._next_direct_s.pop(prefix, None)
+                return batch
             return ChangeBatch((), after_revision, -math.inf)
         finally:
             self._polls.discard(given_up)
--- a/tests/fleet/test_council.py
+++ b/tests/fleet/test_council.py
@@ -198,3 +198,17 @@
     await asyncio.sleep(0.1)
     assert view.council.voters == {"h01"}
     fleet.close()
+
+
+@pytest.mark.looptime
+async def test_voters_that_are_all_lost_for_good_are_replaced():
+    """Any number of hosts may be lost; without voters no primary is ever replaced."""
+    fleet = await large_fleet()
+    before = next(iter(fleet.views.values())).council.voters
+    for host in before:
+        fleet.lose(host)
+    await asyncio.sleep(SETTLED_S + VOTER_ABSENT_S + 5 * LOOK_S)
+    (after,) = {view.council.voters for view in fleet.views.values()}
+    assert not after & before
+    assert len(after) == COUNCIL_SIZE
+    fleet.close()
--- a/tests/fleet/test_relaying.py
+++ b/tests/fleet/test_relaying.py
@@ -169,6 +169,11 @@
     put(pair.stores["host"], "op/config", b"new")
     await asyncio.sleep(RELAY_PATIENCE_S + 2.0 * DIRECT_PAUSE_S + RELAY_LOOK_S)
     assert pair.follower.items["op/config"].value == b"new"
+    for number in range(20):
+        put(pair.stores["host"], "op/config", str(number).encode())
+        await asyncio.sleep(0.5)
+        assert pair.follower.items["op/config"].value == str(number).encode()
+        assert not pair.follower.is_broken
     pair.close()
 
 
