Do not beat to a peer that was forgotten meanwhile

Cause: an answer to a heartbeat is sent by a task; when the voters change before it runs, the peer's renewal is gone, and the log told of a heartbeat that could not be sent, with a traceback. Ruled out: a fault of the link; the message was never encoded. Before: the new test counts one failed heartbeat; after: none, and nothing is sent.

--- a/libs/peering/src/pistachiowinch/peering/membership.py
+++ b/libs/peering/src/pistachiowinch/peering/membership.py
@@ -306,6 +306,9 @@
             task.add_done_callback(self._replies.discard)
 
     async def _beat(self, host: str, record: PeerRecord) -> None:
+        if self._records.get(host) is not record:
+            # The peer was forgotten after this heartbeat was decided on.
+            return
         try:
             await self._link.send(host, record.shorten(self._heartbeat(record)))
             if self._renewals[host].is_due(record):
--- a/tests/peering/test_membership.py
+++ b/tests/peering/test_membership.py
@@ -291,3 +291,28 @@
     assert len(received) <= 5.0 / ASKING_INTERVAL_S + 1
     for task in tasks:
         task.cancel()
+
+
+async def test_a_peer_forgotten_before_its_answer_is_no_failure():
+    """A change of voters in the middle of an exchange must not look like a failed heartbeat."""
+    network = PeerNetwork(1)
+    metrics = Metrics()
+    voter = Membership(
+        identity("voter"), network.link("voter"), lambda: STATE, None, metrics, states_hosts=False
+    )
+    host = Membership(identity("host"), network.link("host"), lambda: STATE, states_hosts=False)
+    voter.set_members([host.identity], (), frozenset({"host"}))
+    host.set_members([voter.identity], (), frozenset(), True)
+    heard = []
+
+    def forget(received):
+        heard.append(received)
+        asyncio.get_running_loop().call_soon(voter.set_members, [])
+
+    voter.heartbeats.subscribe(forget)
+    tasks = [asyncio.ensure_future(view.run()) for view in (voter, host)]
+    await asyncio.sleep(1.0)
+    for task in tasks:
+        task.cancel()
+    assert heard
+    assert metrics.peer_messages.labels("failed", "hb")._value.get() == 0
