Add a fault soak of real processes with a checker proved by missing guards

What: stand-ins of the store over HTTP and of services with a replicated log, pipes for each directed pair of addresses, signals by process id, callers, and a checker of 13 rules that asks no host. Five guards off: STALE, PINNED, QUOTA, TWICE and ONE found; tests/soak passes alone and twice beside 8 busy processes.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 STAMP = $(VENV)/installed
 LIBRARIES = base links store peering configuration limits groups routing targets gateway \
-	proxy standins measure model operations sessions fleet entry
+	proxy standins measure model operations sessions fleet entry soak
 SOURCES = libs platform tests
 PYTEST_OPTIONS ?=
 
--- a/libs/operations/src/pistachiowinch/operations/main.py
+++ b/libs/operations/src/pistachiowinch/operations/main.py
@@ -316,6 +316,19 @@
     raise typer.Exit(measure_main(context.args))
 
 
+@app.command(
+    context_settings={"allow_extra_args": True, "ignore_unknown_options": True},
+    add_help_option=False,
+)
+def soak(context: typer.Context) -> None:
+    """Run hosts as processes under random faults; see `soak --help`."""
+    try:
+        from pistachiowinch.soak.main import main as soak_main
+    except ModuleNotFoundError as error:
+        _fail(f"This installation has no soak: {error}.")
+    raise typer.Exit(soak_main(context.args))
+
+
 def main() -> None:
     """Run the command line."""
     app()
--- /dev/null
+++ b/libs/soak/src/pistachiowinch/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Fault soak: real hosts as processes on loopback, faults from outside, promises checked."""
--- /dev/null
+++ b/libs/soak/src/pistachiowinch/soak/main.py
@@ -0,0 +1,80 @@
+"""Command ``pistachiowinch soak``."""
+
+import asyncio
+import json
+import tempfile
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from pistachiowinch.soak.run import Report, SoakSettings, run_soak
+from pistachiowinch.soak.site import SiteSize
+
+__all__ = ["app", "main"]
+
+_S_PER_MIN = 60.0
+# Hosts whose connections all pass through pipes; more need too many listeners.
+MOST_WITH_PIPES = 15
+
+app = typer.Typer(add_completion=False)
+
+
+@app.command()
+def soak(
+    seed: Annotated[int, typer.Option(help="Seed of the faults and of the callers.")],
+    minutes: Annotated[float, typer.Option(min=0.05, help="How long faults come.")] = 1.0,
+    seeds: Annotated[int, typer.Option(min=1, help="Number of seeds, one after the other.")] = 1,
+    hosts: Annotated[int, typer.Option(min=1, max=200, help="Hosts, a process each.")] = 5,
+    logs: Annotated[
+        Path | None, typer.Option(help="Folder for the hosts' logs; a temporary one by default.")
+    ] = None,
+    as_json: Annotated[bool, typer.Option("--json", help="Print JSON for scripts.")] = False,
+) -> None:
+    """Run hosts as processes on loopback under random faults and check the promises to callers.
+
+    Exits with 1 if a promise was broken; the logs of a run with findings are kept.
+    """
+    folder = logs or Path(tempfile.mkdtemp(prefix="pistachiowinch-soak-"))
+    has_findings = False
+    for number in range(seed, seed + seeds):
+        place = folder / f"seed-{number}"
+        place.mkdir(parents=True, exist_ok=True)
+        size = SiteSize(hosts, hosts <= MOST_WITH_PIPES)
+        settings = SoakSettings(number, minutes * _S_PER_MIN, size, place)
+        report = asyncio.run(run_soak(settings))
+        has_findings |= bool(report.findings)
+        typer.echo(json.dumps(_as_data(report)) if as_json else _as_text(report, place))
+    raise typer.Exit(int(has_findings))
+
+
+def _as_data(report: Report) -> dict:
+    return report._asdict() | {"findings": [finding._asdict() for finding in report.findings]}
+
+
+def _as_text(report: Report, place: Path) -> str:
+    lines = [
+        f"Seed {report.seed}: {report.faults} faults, {report.served} operations served, "
+        f"{report.failed} failed, {report.runs} statements run, {len(report.findings)} findings."
+    ]
+    lines += [f"  {found.at_s:.3f} {found.rule}: {found.detail}" for found in report.findings]
+    if report.findings:
+        lines.append(f"  Logs: {place}")
+    return "\n".join(lines)
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run the command line.
+
+    :param arguments: without the program's name; those of the process by default.
+    :returns: exit code.
+    """
+    command = typer.main.get_command(app)
+    try:
+        command.main(
+            args=None if arguments is None else list(arguments), prog_name="pistachiowinch soak"
+        )
+    except SystemExit as end:
+        return end.code if isinstance(end.code, int) else 1
+    return 0
--- /dev/null
+++ b/libs/standins/src/pistachiowinch/standins/http_store.py
@@ -0,0 +1,171 @@
+"""The platform's store over HTTP, answered from an in-memory store.
+
+Each host gets a server of its own, so that faults can differ between hosts.
+"""
+
+import asyncio
+import base64
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import msgspec
+from aiohttp import web
+
+from pistachiowinch.links.store import (
+    Compare,
+    Delete,
+    HistoryLost,
+    Put,
+    StoreReplyLost,
+    StoreUnavailable,
+)
+from pistachiowinch.standins.memory_store import MemoryStore, StoreFaults
+
+__all__ = ["PAGE_ITEMS", "HttpStore"]
+
+# Items of one page; small, so that readers have to continue.
+PAGE_ITEMS = 20
+# Longer than any client waits for an answer that never comes.
+SILENCE_S = 30.0
+# A server that stops does not wait for long polls.
+SHUTDOWN_S = 0.1
+
+_BASE = "/pistachiowinch"
+
+
+def _unchanged(value: bytes) -> bytes:
+    return value
+
+
+class HttpStore:
+    """Server of one client of a store.
+
+    :param store: the state that all servers share.
+    :param translate: changes values on their way to this client, such as addresses.
+    :ivar refusal: status that every call gets instead of an answer; 0 for none.
+    :ivar is_silent: whether calls take effect without an answer.
+    """
+
+    def __init__(
+        self, store: MemoryStore, translate: Callable[[bytes], bytes] = _unchanged
+    ) -> None:
+        """Create a server that does not listen yet."""
+        self._store = store
+        self._client = store.client()
+        self._translate = translate
+        self._runner: web.AppRunner | None = None
+        self.refusal = 0
+        self.is_silent = False
+        self.address = ""
+
+    @property
+    def faults(self) -> StoreFaults:
+        """Faults of this client alone."""
+        return self._client.faults
+
+    async def start(self, ip: str = "127.0.0.1") -> None:
+        """Listen at a free port of an address."""
+        app = web.Application(middlewares=[self._fail])
+        app.router.add_get(f"{_BASE}/kv-key", self._key)
+        app.router.add_get(f"{_BASE}/kv-range", self._range)
+        app.router.add_get(f"{_BASE}/kv-watch", self._watch)
+        app.router.add_post(f"{_BASE}/kv-txn", self._txn)
+        app.router.add_post(f"{_BASE}/kv-lease", self._lease)
+        app.router.add_post(f"{_BASE}/kv-keep/{{lease}}", self._keep)
+        app.router.add_delete(f"{_BASE}/kv-lease-end/{{lease}}", self._end)
+        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=SHUTDOWN_S)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, ip, 0).start()
+        self.address = f"{ip}:{self._runner.addresses[0][1]}"
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    @web.middleware
+    async def _fail(self, request: web.Request, handler: Callable) -> web.StreamResponse:
+        if self.refusal:
+            return web.Response(status=self.refusal)
+        try:
+            response = await handler(request)
+        except HistoryLost:
+            return web.Response(status=410)
+        except StoreUnavailable:
+            return web.Response(status=503)
+        except StoreReplyLost:
+            if request.transport is not None:
+                request.transport.abort()
+            return web.Response(status=503)
+        if self.is_silent:
+            await asyncio.sleep(SILENCE_S)
+        return response
+
+    async def _key(self, request: web.Request) -> web.Response:
+        found = await self._client.get(request.query["key"])
+        if found is None:
+            return web.Response(status=404)
+        fields = self._item(found.key, found.value, found.mod_revision, found.lease)
+        return web.json_response(fields | {"atRev": self._store.revision})
+
+    async def _range(self, request: web.Request) -> web.Response:
+        snapshot = await self._client.read_prefix(request.query["prefix"])
+        after = request.query.get("after", "")
+        items = [item for item in snapshot.items if item.key > after]
+        page = [
+            self._item(item.key, item.value, item.mod_revision, item.lease)
+            for item in items[:PAGE_ITEMS]
+        ]
+        has_more = len(items) > PAGE_ITEMS
+        return web.json_response({"items": page, "hasMore": has_more, "atRev": snapshot.revision})
+
+    async def _watch(self, request: web.Request) -> web.Response:
+        query = request.query
+        batch = await self._client.changes(
+            query["prefix"], int(query["after"]), int(query["waitMs"]) / 1000.0
+        )
+        events = [
+            (
+                {"key": event.key, "revision": event.mod_revision, "deleted": True}
+                if event.value is None
+                else self._item(event.key, event.value, event.mod_revision, 0)
+            )
+            for event in batch.events
+        ]
+        return web.json_response({"events": events, "atRev": batch.revision})
+
+    async def _txn(self, request: web.Request) -> web.Response:
+        body = msgspec.json.decode(await request.read())
+        compares = [Compare(row["key"], row["revision"]) for row in body["expected"]]
+        operations = [_put(row) for row in body["setKeys"]]
+        operations += [Delete(key) for key in body["remove"]]
+        try:
+            reply = await self._client.transact(compares, operations)
+        except ValueError:
+            return web.Response(status=404)
+        if not reply.succeeded:
+            return web.json_response({"items": []}, status=412)
+        return web.json_response({"revision": reply.revision})
+
+    async def _lease(self, request: web.Request) -> web.Response:
+        ttl_ms = msgspec.json.decode(await request.read())["ttlMs"]
+        lease = await self._client.grant_lease(ttl_ms / 1000.0)
+        return web.json_response({"leaseId": lease, "ttlMs": ttl_ms})
+
+    async def _keep(self, request: web.Request) -> web.Response:
+        left_s = await self._client.keep_alive(int(request.match_info["lease"]))
+        if left_s <= 0.0:
+            return web.Response(status=404)
+        return web.json_response({"ttlMs": int(left_s * 1000)})
+
+    async def _end(self, request: web.Request) -> web.Response:
+        await self._client.end_lease(int(request.match_info["lease"]))
+        return web.json_response({})
+
+    def _item(self, key: str, value: bytes, revision: int, lease: int) -> dict[str, Any]:
+        text = base64.b64encode(self._translate(value)).decode()
+        return {"key": key, "value": text, "revision": revision, "leaseId": lease}
+
+
+def _put(row: Mapping[str, Any]) -> Put:
+    return Put(row["key"], base64.b64decode(row["value"], validate=True), row["leaseId"])
--- /dev/null
+++ b/tests/soak/unguarded.py
@@ -0,0 +1,52 @@
+"""Runs a host with one guard switched off, so that the soak's checker has something to find."""
+
+import sys
+
+from pistachiowinch.base import codes
+from pistachiowinch.fleet.currency import CurrencyProof
+from pistachiowinch.limits.rates import RateEscrow
+from pistachiowinch.links.statements import Position, Ran
+from pistachiowinch.platform.program import serve
+from pistachiowinch.platform.settings import settings_path
+from pistachiowinch.sessions import borrowing, exchanges, singles
+
+
+def read_anything() -> None:
+    """Take any replica for fresh enough."""
+    borrowing.required_position = lambda parts, operation: Position(1, 0)
+
+
+def share_state() -> None:
+    """Use connections with the values of the session before."""
+
+    async def align(*_):
+        return Ran((), "", None)
+
+    exchanges.align = align
+
+
+def ignore_rates() -> None:
+    """Take every operation of every customer."""
+    RateEscrow.try_acquire = lambda self, customer: True
+
+
+def repeat_writes() -> None:
+    """Send a write again that may have run."""
+    guarded = singles._attempt
+
+    async def attempt(*arguments):
+        reply = await guarded(*arguments)
+        is_unknown = getattr(reply, "code", None) is codes.OUTCOME_UNKNOWN
+        return None if is_unknown else reply
+
+    singles._attempt = attempt
+
+
+def trust_for_ever() -> None:
+    """Use a primary without a proof that it still is one."""
+    CurrencyProof.is_proved = property(lambda self: True)
+
+
+if __name__ == "__main__":
+    globals()[sys.argv[1]]()
+    serve(settings_path())
