Let registrations of a starting fleet gather before they are read

Cause: until a host knows of more than 15 hosts it answers each registration with a new poll, so a fleet that starts makes calls with the square of 15 and more (9.1 polls of fleet/ a host of 24). Ruled out: reads of groups (0.5 a host), polls of the other prefixes (1.5 each).

--- a/libs/entry/src/pistachiowinch/entry/host.py
+++ b/libs/entry/src/pistachiowinch/entry/host.py
@@ -58,6 +58,9 @@
 # Hosts and targets of a new fleet register within a second or two, each with a change that all
 # hosts read as long as there is no council.
 GATHER_NEW_FLEET_S = 0.4
+# Time from its start in which a host cannot know yet how many more there are: hosts of a site start
+# within 0.3 s, a slow processor takes two seconds until it registers.
+FLEET_STARTS_S = 3.0
 # Bits of the random number that tells one run of a host from the next.
 RUN_BITS = 47
 
@@ -113,7 +116,9 @@
         )
         self._registration = HostRegistration(self._store, record, self._on_succession, log)
         self._primaries = PrimaryTable(log)
-        self._fleet = PrefixFollower(self._relay, FLEET_PREFIX, self._on_fleet, log, self._gather_s)
+        self._fleet = PrefixFollower(
+            self._relay, FLEET_PREFIX, self._on_fleet, log, self._gather_hosts_s
+        )
         self._keeper = CouncilKeeper(
             identity.host,
             self._council,
@@ -304,6 +309,11 @@
     def _gather_s(self) -> float:
         return GATHER_NEW_FLEET_S if self._council.is_missing else 0.0
 
+    def _gather_hosts_s(self) -> float:
+        is_starting = now_s() - self._started_s < FLEET_STARTS_S
+        is_alone = self._council.record is None
+        return GATHER_NEW_FLEET_S if is_starting and is_alone else self._gather_s()
+
     def _adopt_all(self, items: Iterable[KeyValue]) -> None:
         for item in items:
             record = decode_record(item, PrimaryRecord)
