Ask a store that turns a host away less and less often

Ruled out: the relaying hosts, which pause 1.5 to 4.5 s between own reads. Before: the new test counts more than 12 calls in 9 s; after: at most 12, and a host is back within half of a lease after the store.

--- a/libs/fleet/src/pistachiowinch/fleet/registration.py
+++ b/libs/fleet/src/pistachiowinch/fleet/registration.py
@@ -24,8 +24,10 @@
 LEASE_S = 3.0
 # Two renewals may fail before the lease ends.
 RENEW_S = 1.0
-# A returned store is found as fast as by the watches.
-RETRY_S = 0.3
+# A returned store is found as fast as by the watches, but each attempt is paid: a host that a store
+# turns away for long asks less often, still within half of a lease.
+FIRST_RETRY_S = 0.3
+LAST_RETRY_S = 1.5
 # Clocks of two hosts may differ in speed by this much over the time that a host may be away.
 ABSENT_MARGIN_S = 0.5
 # A member without a lease is removed when its proofs have ended, whatever it still hears.
@@ -58,13 +60,16 @@
 
     async def run(self) -> None:
         """Register and renew until cancelled."""
+        retry_s = FIRST_RETRY_S
         while True:
             try:
                 await self._keep()
+                retry_s = FIRST_RETRY_S
                 await sleep_s(RENEW_S * random.uniform(0.9, 1.0))
             except StoreError as error:
                 self._log.write("registration_failed", detail=str(error))
-                await sleep_s(RETRY_S * random.uniform(0.5, 1.0))
+                await sleep_s(retry_s * random.uniform(0.5, 1.0))
+                retry_s = min(2.0 * retry_s, LAST_RETRY_S)
 
     async def leave(self) -> None:
         """Stop counting, for a planned stop."""
--- a/tests/fleet/test_registration.py
+++ b/tests/fleet/test_registration.py
@@ -57,6 +57,19 @@
     assert world.store.apply_get(host_key("a")) is None
 
 
+async def test_a_host_that_the_store_turns_away_for_long_asks_seldom_and_is_back_soon():
+    """Prices: 21 of 59 hosts were turned away for 9 s and asked four times a second each."""
+    world = Registered()
+    world.store.faults.is_down = True
+    task = asyncio.ensure_future(world.registration.run())
+    await asyncio.sleep(9.0)
+    assert sum(world.store.calls.values()) <= 12
+    world.store.faults.is_down = False
+    await asyncio.sleep(LEASE_S / 2 + 0.1)
+    assert world.store.apply_get(host_key("a")) is not None
+    task.cancel()
+
+
 async def test_only_a_run_that_still_counts_is_succeeded():
     """QUOTA: a host may take its part of the rates over only while peers keep it for that host."""
     world = Registered()
