Let the targets of a soak listen at a fixed port

Ruled out: two soaks in one network; each claims its own by listening. After: ports are below the kernel's range.

--- a/libs/soak/src/pistachiowinch/soak/network.py
+++ b/libs/soak/src/pistachiowinch/soak/network.py
@@ -12,12 +12,13 @@
 
 from pistachiowinch.base.clock import sleep_s
 
-__all__ = ["CALLERS_PORT", "PEERS_PORT", "READY_PORT", "Network", "Pipe"]
+__all__ = ["CALLERS_PORT", "PEERS_PORT", "READY_PORT", "TARGETS_PORT", "Network", "Pipe"]
 
-# The same on all addresses of a soak, which nothing else listens at.
+# The same on all addresses of a soak; the kernel gives these ports to nobody by itself.
 CALLERS_PORT = 7464
 READY_PORT = 7465
 PEERS_PORT = 7466
+TARGETS_PORT = 7467
 
 # Second byte of the addresses; one value for each soak that runs on the machine.
 _NETWORKS = range(32, 224)
--- a/libs/soak/src/pistachiowinch/soak/site.py
+++ b/libs/soak/src/pistachiowinch/soak/site.py
@@ -15,7 +15,14 @@
 from pistachiowinch.soak.callers import CallerRoute
 from pistachiowinch.soak.checker import Checker, Rate
 from pistachiowinch.soak.hosts import HostProcess
-from pistachiowinch.soak.network import CALLERS_PORT, PEERS_PORT, READY_PORT, Network, Pipe
+from pistachiowinch.soak.network import (
+    CALLERS_PORT,
+    PEERS_PORT,
+    READY_PORT,
+    TARGETS_PORT,
+    Network,
+    Pipe,
+)
 from pistachiowinch.standins.http_store import HttpStore
 from pistachiowinch.standins.line_service import LineService, LineTarget
 from pistachiowinch.standins.memory_store import MemoryStore
@@ -221,7 +228,8 @@
         return HttpStore(self.store, translate) if translate else HttpStore(self.store)
 
     def _service(self, name: str, ips: Sequence[str]) -> LineService:
-        return LineService(name, tuple(ips), name == SYNCHRONOUS, self.checker)
+        is_synchronous = name == SYNCHRONOUS
+        return LineService(name, tuple(ips), is_synchronous, self.checker, TARGETS_PORT)
 
     def _disturbed_s(self, source: str) -> float:
         if not self.size.has_pipes:
--- a/libs/standins/src/pistachiowinch/standins/line_service.py
+++ b/libs/standins/src/pistachiowinch/standins/line_service.py
@@ -104,17 +104,18 @@
     :param service: the service that it belongs to.
     :param name: identity that callers must name.
     :param ip: address to listen at.
+    :param port: port to listen at; 0 takes a free one, and keeps it.
     :ivar work_factor: multiplies the time of each statement.
     :ivar failing_share: part of the statements that run and are answered FAILED.
     :ivar is_receiving: whether the primary's commits reach it.
     """
 
-    def __init__(self, service: "LineService", name: str, ip: str) -> None:
+    def __init__(self, service: "LineService", name: str, ip: str, port: int) -> None:
         """Create a stopped target with an empty log."""
         self.service = service
         self.name = name
         self.ip = ip
-        self.port = 0
+        self.port = port
         self.term = 0
         self.log: list[Commit] = []
         self.applied = 0
@@ -415,6 +416,7 @@
 
     :param is_synchronous: whether a commit is acknowledged only after one replica received it.
     :param observer: learns what the targets do.
+    :param port: port of all targets; each takes a free one by default.
     """
 
     slots = 6
@@ -423,7 +425,12 @@
     lag_s = 0.06
 
     def __init__(
-        self, name: str, ips: tuple[str, ...], is_synchronous: bool, observer: ServiceObserver
+        self,
+        name: str,
+        ips: tuple[str, ...],
+        is_synchronous: bool,
+        observer: ServiceObserver,
+        port: int = 0,
     ) -> None:
         """Create stopped targets."""
         self.name = name
@@ -431,7 +438,7 @@
         self.observer = observer
         self.targets: dict[str, LineTarget] = {}
         for number, ip in enumerate(ips):
-            target = LineTarget(self, f"{name}-{number}", ip)
+            target = LineTarget(self, f"{name}-{number}", ip, port)
             self.targets[target.name] = target
         self.leader = next(iter(self.targets.values()))
         self.leader.lead(1)
