Open up to three connections to a target where a host's part is one

Ruled out: the slots (55 statements of 33 ms fill two), the store (hosts without it are spread evenly), an unevenly loaded host (54 hosts refused). What: a host whose part is below three goes above it for a request that would wait, after its own connections and idle ones; a refusal by the target ends that for a second, and the part still serves.

--- a/libs/sessions/src/pistachiowinch/sessions/connections.py
+++ b/libs/sessions/src/pistachiowinch/sessions/connections.py
@@ -3,6 +3,10 @@
 Load pattern: more sessions than connections, and connections belong to one customer. Waiting
 requests are served by route priority and arrival; a connection that the customer already has
 goes before a new one, and the connection that was idle longest makes room for another customer.
+
+A transaction holds its connection while its caller pauses. Where a host's part is so small that one
+transaction blocks its other requests, it opens a few more than its part: other hosts rarely use all
+of theirs at the same time, and the target itself refuses what is too much.
 """
 
 import asyncio
@@ -35,6 +39,13 @@
 KEPT_PART = 0.4
 # Connections above that part are closed after this time without use, some operations of a session.
 IDLE_KEPT_S = 0.6
+# Connections that a host may open to a target even if its part is smaller, for requests that would
+# wait otherwise; a host meets two transactions on one target at the same time.
+USEFUL_CONNECTIONS = 3
+# Tiers of targets that are expected to serve: fresh replicas and the primary.
+SURE_TIERS = 2
+# A target that refused one above the part is full; transactions end within a second or two.
+EXTRA_PAUSE_S = 1.0
 
 
 class Wanted(NamedTuple):
@@ -70,12 +81,13 @@
 class _Pool:
     """Connections to one target."""
 
-    __slots__ = ("idle", "opened", "target")
+    __slots__ = ("idle", "no_extra_until_s", "opened", "target")
 
     def __init__(self, target: Target) -> None:
         self.target = target
         self.idle: list[PooledConnection] = []
         self.opened = 0
+        self.no_extra_until_s = 0.0
 
 
 class _Waiter(NamedTuple):
@@ -143,6 +155,9 @@
         held.idle_since_s = now_s()
         pool.idle.append(held)
         self._wake(held.target.service)
+        if held in pool.idle and pool.opened > self._share(held.target.service):
+            pool.idle.remove(held)
+            self.discard(held, "extra")
 
     def discard(self, held: PooledConnection, cause: str) -> None:
         """Close a connection that was taken."""
@@ -201,17 +216,29 @@
         return len(self._waiters.get(service, ()))
 
     def _try_take(self, wanted: Wanted) -> "PooledConnection | Target | None":
-        for tier in wanted.tiers():
-            usable = [target for target in tier if not self._health.is_paused(target.name)]
-            found = (
-                self._take_own(usable, wanted.customer)
-                or self._reserve_new(usable)
-                or self._replace_idle(usable)
-            )
-            if found is not None:
-                return found
+        tiers = [
+            [target for target in tier if not self._health.is_paused(target.name)]
+            for tier in wanted.tiers()
+        ]
+        # Targets that are sure to serve come first, even by an extra connection.
+        for group in (tiers[:SURE_TIERS], tiers[SURE_TIERS:]):
+            for tier in group:
+                found = self._take_part(tier, wanted.customer)
+                if found is not None:
+                    return found
+            for tier in group:
+                extra = self._reserve_extra(tier)
+                if extra is not None:
+                    return extra
         return None
 
+    def _take_part(self, usable: list[Target], customer: str) -> "PooledConnection | Target | None":
+        return (
+            self._take_own(usable, customer)
+            or self._reserve_new(usable)
+            or self._replace_idle(usable)
+        )
+
     def _take_own(self, targets: list[Target], customer: str) -> PooledConnection | None:
         for target in targets:
             pool = self._pools.get(target.name)
@@ -237,6 +264,14 @@
                 return target
         return None
 
+    def _reserve_extra(self, targets: list[Target]) -> Target | None:
+        for target in targets:
+            pool = self._pools[target.name]
+            if pool.opened < USEFUL_CONNECTIONS and now_s() >= pool.no_extra_until_s:
+                pool.opened += 1
+                return target
+        return None
+
     def _replace_idle(self, targets: list[Target]) -> Target | None:
         for target in targets:
             pool = self._pools[target.name]
@@ -273,6 +308,11 @@
             case _:
                 self._health.note_alive(target.name)
         self._log.write("connection_refused", target=target.name, cause=str(error)[:80])
+        pool = self._pools.get(target.name)
+        if pool is not None and pool.opened > self._share(target.service):
+            # Only the extra ones are too many; those of this host's part still serve.
+            pool.no_extra_until_s = now_s() + EXTRA_PAUSE_S
+            return
         self.pause(target, REFUSED_PAUSE_S)
 
     def _unreserve(self, target: Target) -> None:
