Tell of an older configuration once, not at each heartbeat

Ruled out: more reads of the store; a read under way is not begun anew. Before: refresh told nothing of that, the new test cannot count (None). After: one line for each read.

--- a/libs/entry/src/pistachiowinch/entry/host.py
+++ b/libs/entry/src/pistachiowinch/entry/host.py
@@ -352,9 +352,8 @@
             record = PrimaryRecord(announced.term, announced.primary)
             self._primaries.adopt(service, record, heartbeat.host)
         is_behind = heartbeat.config_version > self.view.configuration.version >= 0
-        if is_behind and self._reads_store():
+        if is_behind and self._reads_store() and self._operators.refresh():
             self._log.write("configuration_behind", peer=heartbeat.host)
-            self._operators.refresh()
 
     def _on_notice(self, sender: str, notice: PrimaryNotice) -> None:
         record = PrimaryRecord(notice.epoch, notice.primary)
--- a/libs/fleet/src/pistachiowinch/fleet/following.py
+++ b/libs/fleet/src/pistachiowinch/fleet/following.py
@@ -89,15 +89,19 @@
         item = self.items.get(key)
         return WatchEvent(key, None if item is None else item.value, revision)
 
-    def refresh(self) -> None:
-        """Read everything again now, because a peer knows something newer."""
+    def refresh(self) -> bool:
+        """Read everything again now, because a peer knows something newer.
+
+        :returns: whether that was not under way already.
+        """
         if self._revision is None:
-            # That read is under way; starting it anew for each peer would never let it end.
-            return
+            # Starting the read anew for each peer would never let it end.
+            return False
         self._revision = None
         if self._poll is not None and not self._poll.done():
             self._is_refreshing = True
             self._poll.cancel()
+        return True
 
     async def run(self) -> None:
         """Follow until cancelled."""
--- a/tests/fleet/test_following.py
+++ b/tests/fleet/test_following.py
@@ -85,3 +85,16 @@
     await asyncio.sleep(0.1)
     assert world.store.calls["read_prefix"] == 2
     assert not world.task.done()
+
+
+async def test_a_store_that_is_away_is_not_asked_anew_for_each_peer_that_is_ahead():
+    """2,351 log lines in 8 s: peers with a newer version beside a host that the store turns away."""
+    world = Following()
+    await asyncio.sleep(0.1)
+    world.store.faults.is_down = True
+    begun = 0
+    for _ in range(100):
+        begun += world.follower.refresh()
+        await asyncio.sleep(0.01)
+    assert begun == 1
+    assert world.store.calls["read_prefix"] < 10
