--- a/tests/fleet/test_following.py
+++ b/tests/fleet/test_following.py
@@ -88,7 +88,7 @@
 
 
 async def test_a_store_that_is_away_is_not_asked_anew_for_each_peer_that_is_ahead():
-    """2,351 log lines in 8 s: peers with a newer version beside a host that the store turns away."""
+    """2,351 log lines in 8 s: newer peers beside a host that the store turns away."""
     world = Following()
     await asyncio.sleep(0.1)
     world.store.faults.is_down = True
