Let reads wait for replicas that lag little more than they accept

What: positions are dated by what the primary reported; a replica's lag is the least of its latest figures; a read waits for it when that is sooner than the primary's queue, and a replica that is known to be behind is not asked. LAGGING no longer excludes a target from later attempts.

--- a/libs/base/src/pistachiowinch/base/clock.py
+++ b/libs/base/src/pistachiowinch/base/clock.py
@@ -7,7 +7,7 @@
 import selectors
 import time
 
-__all__ = ["BootTimeLoop", "left_s", "now_s", "sleep_s"]
+__all__ = ["LEAST_WAIT_S", "BootTimeLoop", "left_s", "now_s", "sleep_s"]
 
 # A wait of zero would end before an answer that is already there is read.
 LEAST_WAIT_S = 0.001
--- a/libs/sessions/src/pistachiowinch/sessions/borrowing.py
+++ b/libs/sessions/src/pistachiowinch/sessions/borrowing.py
@@ -5,6 +5,7 @@
 from pistachiowinch.base.clock import now_s
 from pistachiowinch.base.codes import HOST_ISOLATED, NO_PRIMARY, Refusal
 from pistachiowinch.links.statements import Position
+from pistachiowinch.sessions.catching_up import behind_s, let_catch_up
 from pistachiowinch.sessions.connections import PooledConnection, Wanted
 from pistachiowinch.sessions.parts import SessionParts
 from pistachiowinch.sessions.placement import read_tiers
@@ -54,6 +55,10 @@
     if refusal is not None:
         return refusal
     wait_until_s = now_s() + (placement.deadline_s - now_s()) * WAIT_PART
+    if not placement.must_be_primary:
+        required = required_position(parts, placement.operation)
+        if required is not None:
+            await let_catch_up(parts, service, required, placement.excluded, wait_until_s)
     while True:
         wanted = Wanted(
             placement.operation.customer,
@@ -115,6 +120,7 @@
             required_position(parts, operation),
             parts.availability_zone,
             placement.excluded,
+            lambda target, position: behind_s(parts, target, position),
         )
     )
 
--- a/libs/sessions/src/pistachiowinch/sessions/connections.py
+++ b/libs/sessions/src/pistachiowinch/sessions/connections.py
@@ -285,6 +285,7 @@
 
     async def _open(self, service: str, target: Target, wanted: Wanted) -> PooledConnection | None:
         timeout_s = min(OPEN_TIMEOUT_S, left_s(wanted.deadline_s))
+        asked_s = now_s()
         is_open = False
         try:
             connection = await self._link.connect(
@@ -292,6 +293,7 @@
             )
             is_open = True
             self._health.note_alive(target.name)
+            self._health.note_opened(target.name, now_s() - asked_s)
             return PooledConnection(connection, target, wanted.customer)
         except TargetRefused as error:
             self._note_refused(target, error)
--- a/libs/sessions/src/pistachiowinch/sessions/exchanges.py
+++ b/libs/sessions/src/pistachiowinch/sessions/exchanges.py
@@ -76,14 +76,19 @@
 ) -> None:
     held = borrowed.held
     target = held.target.name
+    log = parts.freshness_of(held.target.service)
     match outcome:
         case Ran(_, _, position):
             parts.health.note_answer(target, now_s() - sent_s, position)
+            if not borrowed.is_primary and position is not None:
+                parts.health.note_lag(target, log.dated_s(position))
             if borrowed.is_primary and not work.is_inside:
-                parts.freshness_of(held.target.service).note(borrowed.epoch, sent_s, position)
+                log.note(borrowed.epoch, sent_s, position)
         case Refused(reason=ReasonRefused.LAGGING, position=position):
             parts.health.note_alive(target)
             parts.health.note_lagging(target, position)
+            if position is not None:
+                parts.health.note_lag(target, log.dated_s(position))
         case Refused(reason=ReasonRefused.NO_STATEMENT):
             held.prepared.clear()
         case Refused(reason=ReasonRefused.BUSY):
--- a/libs/sessions/src/pistachiowinch/sessions/freshness.py
+++ b/libs/sessions/src/pistachiowinch/sessions/freshness.py
@@ -5,6 +5,7 @@
 while the primary answers other work.
 """
 
+import bisect
 from collections import deque
 from typing import NamedTuple
 
@@ -76,3 +77,14 @@
                 return observation
             earlier = earlier or observation
         return earlier
+
+    def dated_s(self, position: Position) -> float | None:
+        """Return when the primary was first known to have a position; None if that is not kept."""
+        if not self.observations or position < self.observations[0].position:
+            return None
+        index = bisect.bisect_left(self.observations, position, key=_position_of)
+        return self.observations[index].sent_s if index < len(self.observations) else None
+
+
+def _position_of(observation: Observation) -> Position:
+    return observation.position
--- a/libs/sessions/src/pistachiowinch/sessions/health.py
+++ b/libs/sessions/src/pistachiowinch/sessions/health.py
@@ -1,5 +1,6 @@
 """How targets answer, seen from this host: load, lag and suspicion."""
 
+import math
 from collections.abc import Iterable
 
 from pistachiowinch.base.clock import now_s
@@ -18,6 +19,11 @@
 CLOCK_RESOLUTION_S = 1e-3
 # A replica that lacked a position is tried again after this time, a few times its usual lag.
 LAGGING_PAUSE_S = 0.25
+# What a lagging replica had tells this long how far it is by now; then it is tried again.
+LAG_KEPT_S = 2.0
+# A replica that has the same position for this long receives or applies nothing; commits come
+# several times a second.
+STALLED_S = 0.5
 # Weight of the newest answer in the mean answer time, so that five answers change it by two thirds.
 LATENCY_WEIGHT = 0.2
 # Assumed until the first answer; the mean work of the most frequent kind of statement.
@@ -27,10 +33,15 @@
 class _State:
     __slots__ = (
         "failures",
+        "lag_s",
+        "lagged_s",
         "lagging_until_s",
         "latency_s",
+        "moved_s",
+        "opening_s",
         "paused_until_s",
         "position",
+        "seen_s",
         "started_s",
     )
 
@@ -38,10 +49,24 @@
         self.failures = 0
         self.started_s: dict[int, float] = {}
         self.latency_s = FIRST_LATENCY_S
+        self.opening_s = 0.0
         self.lagging_until_s = 0.0
+        self.lag_s = math.inf
+        self.lagged_s = -math.inf
+        self.moved_s = 0.0
+        self.seen_s = 0.0
         self.paused_until_s = 0.0
         self.position: Position | None = None
 
+    def see(self, position: Position | None) -> None:
+        """Take a position that the target reported."""
+        if position is None:
+            return
+        self.seen_s = now_s()
+        if position != self.position:
+            self.position = position
+            self.moved_s = self.seen_s
+
 
 class TargetHealth:
     """State of all targets, by name.
@@ -73,10 +98,14 @@
         """Note a complete answer."""
         state = self._state(target)
         state.latency_s += LATENCY_WEIGHT * (took_s - state.latency_s)
-        if position is not None:
-            state.position = position
+        state.see(position)
         self.note_alive(target)
 
+    def note_opened(self, target: str, took_s: float) -> None:
+        """Note a connection that was opened."""
+        state = self._state(target)
+        state.opening_s += LATENCY_WEIGHT * (took_s - state.opening_s)
+
     def note_alive(self, target: str) -> None:
         """Note that the target answers."""
         state = self._state(target)
@@ -107,8 +136,10 @@
     def note_lagging(self, target: str, position: Position | None) -> None:
         """Note that the target lacked a position that a read needed."""
         state = self._state(target)
+        state.lagged_s = now_s()
+        state.lag_s = math.inf
         state.lagging_until_s = now_s() + LAGGING_PAUSE_S
-        state.position = position or state.position
+        state.see(position)
 
     def is_suspected(self, target: str) -> bool:
         """Whether the target fails to answer this host."""
@@ -120,8 +151,11 @@
         state = self._states.get(target)
         if state is None:
             return False
-        oldest_s = min(state.started_s.values(), default=now_s())
-        return state.failures > 0 or now_s() - oldest_s > SLOW_EXCHANGE_S
+        return state.failures > 0 or self.unanswered_s(target) > SLOW_EXCHANGE_S
+
+    def unanswered_s(self, target: str) -> float:
+        """Age of the oldest exchange that has no answer yet."""
+        return now_s() - min(self._state(target).started_s.values(), default=now_s())
 
     def is_paused(self, target: str) -> bool:
         """Whether the target refused connections or work a moment ago."""
@@ -135,6 +169,31 @@
             return False
         return state.position is None or state.position < required
 
+    def note_lag(self, target: str, position_from_s: float | None) -> None:
+        """Note from when the position is that a replica reported just now.
+
+        Between two commits it seems to fall behind, so the least of the latest figures holds.
+
+        :param position_from_s: loop time at which the primary had that position; None if unknown.
+        """
+        state = self._state(target)
+        if position_from_s is not None and self._lacked_lately(state):
+            state.lag_s = min(state.lag_s, now_s() - position_from_s)
+
+    def lag_s(self, target: str) -> float | None:
+        """Return how far a replica is behind that lacked a position lately and goes on applying."""
+        state = self._states.get(target)
+        if state is None or not self._lacked_lately(state) or math.isinf(state.lag_s):
+            return None
+        return state.lag_s if state.seen_s - state.moved_s <= STALLED_S else None
+
+    def _lacked_lately(self, state: _State) -> bool:
+        return now_s() - state.lagged_s <= LAG_KEPT_S
+
+    def opening_s(self, target: str) -> float:
+        """Estimated time until a new connection is open."""
+        return self._state(target).opening_s
+
     def expected_s(self, target: str) -> float:
         """Estimated answer time of one more exchange."""
         state = self._state(target)
--- a/libs/sessions/src/pistachiowinch/sessions/placement.py
+++ b/libs/sessions/src/pistachiowinch/sessions/placement.py
@@ -4,7 +4,7 @@
 go to replicas that are expected to have the required position; the primary is the last choice.
 """
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 from pistachiowinch.links.statements import Position
 from pistachiowinch.sessions.health import TargetHealth
@@ -25,6 +25,7 @@
     required: Position | None,
     availability_zone: str,
     excluded: frozenset[str],
+    behind_s: Callable[[Target, Position], float | None] = lambda target, required: None,
 ) -> Sequence[Sequence[Target]]:
     """Order the targets that may run a read.
 
@@ -32,37 +33,28 @@
     :param required: position that a replica must have; None if only the primary may serve.
     :param availability_zone: this host's zone.
     :param excluded: targets that have failed this read.
-    :returns: replicas, then the primary, then replicas that are suspected or lagged lately.
+    :param behind_s: returns after which time a lagging replica has a position, if that is known.
+    :returns: replicas, then the primary, then replicas that are suspected or lagged lately; none
+        that is known to be behind.
     """
     targets = view.targets(service)
-    usable = [
-        target
-        for name, target in targets.items()
-        if name != primary and name not in excluded and view.may_use(name)
-    ]
-    replicas, doubtful = _split(usable, view, health, required)
     first = [targets[primary]] if primary in targets and primary not in excluded else []
     if required is None:
         return [first]
-    order = _order(health, availability_zone)
-    replicas.sort(key=order)
-    doubtful.sort(key=order)
-    return [replicas, first, doubtful]
-
-
-def _split(
-    usable: list[Target], view: SiteView, health: TargetHealth, required: Position | None
-) -> tuple[list[Target], list[Target]]:
     good: list[Target] = []
     doubtful: list[Target] = []
-    for target in usable:
-        is_doubtful = (
-            health.is_suspected(target.name)
-            or view.is_leaving(target.name)
-            or (required is not None and health.is_lagging(target.name, required))
-        )
+    for name, target in targets.items():
+        if name == primary or name in excluded or not view.may_use(name):
+            continue
+        wait_s = behind_s(target, required)
+        if wait_s:
+            # It would only answer that it lacks the position.
+            continue
+        is_lagging = wait_s is None and health.is_lagging(name, required)
+        is_doubtful = is_lagging or health.is_suspected(name) or view.is_leaving(name)
         (doubtful if is_doubtful else good).append(target)
-    return good, doubtful
+    order = _order(health, availability_zone)
+    return [sorted(good, key=order), first, sorted(doubtful, key=order)]
 
 
 def _order(health: TargetHealth, availability_zone: str):
--- a/libs/sessions/src/pistachiowinch/sessions/singles.py
+++ b/libs/sessions/src/pistachiowinch/sessions/singles.py
@@ -1,5 +1,7 @@
 """Runs a statement outside a transaction."""
 
+from typing import NamedTuple
+
 from pistachiowinch.base.clock import now_s, sleep_s
 from pistachiowinch.base.codes import (
     INTERRUPTED_NOT_RUN,
@@ -34,22 +36,32 @@
         if isinstance(borrowed, Refusal):
             return borrowed
         reply = await _attempt(parts, operation, work, borrowed, deadline_s)
-        if reply is not None:
+        if not isinstance(reply, _Again):
             return reply
         parts.metrics.retries.labels("write" if work.is_write else "read").inc()
         target = borrowed.held.target.name
         if target in excluded or must_be_primary:
             await sleep_s(RETRY_PAUSE_S * (attempt + 1))
-        excluded.add(target)
+        if not reply.is_lagging:
+            excluded.add(target)
         if now_s() >= deadline_s:
             break
     return _given_up(parts, work)
 
 
+class _Again(NamedTuple):
+    """The statement did not run, or only read, and may run again.
+
+    :param is_lagging: whether the target may serve it when it has caught up.
+    """
+
+    is_lagging: bool
+
+
 async def _attempt(
     parts: SessionParts, operation: Operation, work: Work, borrowed: Borrowed, deadline_s: float
-) -> Reply | None:
-    """Run once; None if the statement may run again."""
+) -> Reply | _Again:
+    """Run once."""
     patience_s = operation.route.timeout_s * READ_PATIENCE_PART
     until_s = deadline_s if work.is_write else min(deadline_s, now_s() + patience_s)
     try:
@@ -60,14 +72,14 @@
         case Ran():
             return _ran(parts, operation, work, borrowed, outcome)
         case Refused(reason=ReasonRefused.FAILED | ReasonRefused.TIMEOUT):
-            return outcome if work.is_write else None
+            return outcome if work.is_write else _Again(False)
         case Refused(reason=ReasonRefused.OTHER):
             return outcome
-        case Refused():
-            return None
+        case Refused(reason=reason):
+            return _Again(reason is ReasonRefused.LAGGING)
         case Interrupted(is_sent):
             if not work.is_write or not is_sent:
-                return None
+                return _Again(False)
             parts.metrics.refusals.labels(OUTCOME_UNKNOWN.label).inc()
             return Refusal(OUTCOME_UNKNOWN, f"the write was not answered: {outcome.cause}")
 
--- a/libs/sessions/src/pistachiowinch/sessions/transactions.py
+++ b/libs/sessions/src/pistachiowinch/sessions/transactions.py
@@ -138,7 +138,12 @@
             cause = str(outcome)
             if must_be_primary:
                 await sleep_s(RETRY_PAUSE_S * (attempt + 1))
-            excluded.add(borrowed.held.target.name)
+            match outcome:
+                case Refused(reason=ReasonRefused.LAGGING):
+                    # It may serve when it has caught up.
+                    pass
+                case _:
+                    excluded.add(borrowed.held.target.name)
         self._aborted = cause
         self._count(INTERRUPTED_NOT_RUN.label)
         return Refusal(INTERRUPTED_NOT_RUN, "no target began the transaction")
--- a/libs/soak/src/pistachiowinch/soak/hosts.py
+++ b/libs/soak/src/pistachiowinch/soak/hosts.py
@@ -18,6 +18,9 @@
 PROGRAM = (sys.executable, "-m", "pistachiowinch.platform.program")
 # Time after which an ended process is started again, as on the platform.
 RESTART_S = 0.4
+# An end this soon after the start is excused by the platform's rules: a signal may come before the
+# interpreter runs any code of the program.
+STARTING_S = 1.0
 # How often the time that a process waited for a processor is read.
 SAMPLE_S = 0.2
 # A process that waited this long for a processor within two samples counts as slowed: a promotion
@@ -71,13 +74,14 @@
         }
         with self._log.open("ab") as log:
             while True:
-                self.disturbed_s = now_s()
+                self.disturbed_s = started_s = now_s()
                 self._is_expected = self._is_paused = False
                 self._process = await asyncio.create_subprocess_exec(
                     *self._program, stdout=log, stderr=log, env=environment
                 )
                 await self._watch(self._process)
-                if not self._is_expected:
+                is_starting = now_s() - started_s < STARTING_S
+                if not self._is_expected and not is_starting:
                     self._on_ended(self, self._process.returncode)
                 await sleep_s(RESTART_S)
 
--- a/libs/standins/src/pistachiowinch/standins/memory_store.py
+++ b/libs/standins/src/pistachiowinch/standins/memory_store.py
@@ -394,8 +394,9 @@
                 async with contextlib.aclosing(stream):
                     first = await anext(stream)
         except TimeoutError:
-            # A silent watch never saw what happened meanwhile; a poll that ends has.
-            return ChangeBatch((), max(after_revision, self._store.revision))
+            # A silent watch never saw what happened meanwhile; a poll that ends tells of it.
+            found = self._store.events_since(prefix, after_revision + 1)
+            return ChangeBatch(tuple(found), max(after_revision, self._store.revision))
         found = self._store.events_since(prefix, first.mod_revision)
         return ChangeBatch(tuple(found), self._store.revision)
 
--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -150,3 +150,12 @@
     found = subprocess.run(command, env=environment, capture_output=True, text=True, check=False)
     assert found.returncode == status
     assert str(path) in found.stderr.replace("\n", "")
+
+
+async def test_a_reload_that_comes_before_the_program_is_ready_does_not_end_it():
+    """SIGHUP in the first tenths of a second ended the process (soak, seeds 206 and 222)."""
+    code = "import os, signal, pistachiowinch.platform; os.kill(os.getpid(), signal.SIGHUP)"
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-c", code, env=os.environ | {"PYTHONPATH": os.pathsep.join(sys.path)}
+    )
+    assert await process.wait() == 0
--- a/tests/standins/test_memory_store.py
+++ b/tests/standins/test_memory_store.py
@@ -129,3 +129,14 @@
         await cut_off.get("a")
     assert await other.get("a") is None
     assert store.calls == {"get": 2}
+
+
+async def test_a_poll_that_ends_tells_of_what_happened_meanwhile():
+    """A short poll of a slow store lost a change for good: hosts kept old keys (soak, seed 206)."""
+    store = MemoryStore()
+    client = store.client()
+    client.faults.delay_s = 0.004
+    await store.transact([], [Put("a/1", b"x")])
+    batch = await client.changes("a/", store.revision - 1, 0.0)
+    assert [event.key for event in batch.events] == ["a/1"]
+    assert batch.revision == store.revision
