Date positions by the primary's answers, between them by interpolation

A host of 59 sees a primary once or twice a second, and dated positions by its questions, up to half a second before a slow primary had them, so replicas were asked too early and, no longer excluded, again and again. Ruled out: replicas that stand still; their positions move with each answer. After: answers date positions, a replica that lacks one all the same counts as further behind by 0.05 s with each try, and without a date it is excluded as before.

--- a/libs/sessions/src/pistachiowinch/sessions/exchanges.py
+++ b/libs/sessions/src/pistachiowinch/sessions/exchanges.py
@@ -57,7 +57,7 @@
         outcome = await held.connection.run(
             work.request_id, work.statement, after, left_s(deadline_s)
         )
-        _learn(parts, borrowed, outcome, sent_s, work)
+        _learn(parts, borrowed, outcome, sent_s, work, after)
         return outcome
     finally:
         if borrowed.is_primary:
@@ -72,7 +72,12 @@
 
 
 def _learn(
-    parts: SessionParts, borrowed: Borrowed, outcome: StatementOutcome, sent_s: float, work: Work
+    parts: SessionParts,
+    borrowed: Borrowed,
+    outcome: StatementOutcome,
+    sent_s: float,
+    work: Work,
+    after: Position | None,
 ) -> None:
     held = borrowed.held
     target = held.target.name
@@ -83,12 +88,13 @@
             if not borrowed.is_primary and position is not None:
                 parts.health.note_lag(target, log.dated_s(position))
             if borrowed.is_primary and not work.is_inside:
-                log.note(borrowed.epoch, sent_s, position)
+                log.note(borrowed.epoch, sent_s, position, now_s())
         case Refused(reason=ReasonRefused.LAGGING, position=position):
             parts.health.note_alive(target)
             parts.health.note_lagging(target, position)
-            if position is not None:
+            if position is not None and after is not None:
                 parts.health.note_lag(target, log.dated_s(position))
+                parts.health.note_lacks(target, log.dated_s(after))
         case Refused(reason=ReasonRefused.NO_STATEMENT):
             held.prepared.clear()
         case Refused(reason=ReasonRefused.BUSY):
--- a/libs/sessions/src/pistachiowinch/sessions/freshness.py
+++ b/libs/sessions/src/pistachiowinch/sessions/freshness.py
@@ -24,11 +24,13 @@
 
     :param sent_s: loop time of the question; every commit acknowledged before is in the position.
     :param epoch: number of the switch that made it primary.
+    :param seen_s: loop time of the answer, at which the log ended there.
     """
 
     sent_s: float
     epoch: int
     position: Position
+    seen_s: float
 
 
 class FreshnessLog:
@@ -38,11 +40,14 @@
         """Create a log without observations."""
         self.observations: deque[Observation] = deque()
 
-    def note(self, epoch: int, sent_s: float, position: Position | None) -> None:
+    def note(
+        self, epoch: int, sent_s: float, position: Position | None, seen_s: float | None = None
+    ) -> None:
         """Take a position from an answer of the proved primary.
 
         :param epoch: number of the switch that made it primary.
         :param sent_s: loop time before which every acknowledged commit is in the position.
+        :param seen_s: loop time of the answer; that of the question by default.
         """
         if position is None:
             return
@@ -51,7 +56,9 @@
             is_known = newest.epoch == epoch and sent_s - newest.sent_s < SPACING_S
             if is_known or newest.epoch > epoch or sent_s < newest.sent_s:
                 return
-        self.observations.append(Observation(sent_s, epoch, position))
+        self.observations.append(
+            Observation(sent_s, epoch, position, sent_s if seen_s is None else seen_s)
+        )
         while self.observations[0].sent_s < sent_s - KEPT_S:
             self.observations.popleft()
 
@@ -79,11 +86,27 @@
         return earlier
 
     def dated_s(self, position: Position) -> float | None:
-        """Return when the primary was first known to have a position; None if that is not kept."""
-        if not self.observations or position < self.observations[0].position:
+        """Estimate when the primary reached a position; None if that is not kept.
+
+        A host of a large fleet sees a primary's position once a second or less, so times between
+        two observations are interpolated.
+        """
+        seen = self.observations
+        if not seen or position < seen[0].position:
+            return None
+        index = bisect.bisect_left(seen, position, key=_position_of)
+        if index == len(seen):
             return None
-        index = bisect.bisect_left(self.observations, position, key=_position_of)
-        return self.observations[index].sent_s if index < len(self.observations) else None
+        later = seen[index]
+        if later.position == position or later.position.term != position.term:
+            return later.seen_s
+        earlier = seen[index - 1]
+        if earlier.position.term != position.term:
+            return later.seen_s
+        part = (position.number - earlier.position.number) / (
+            later.position.number - earlier.position.number
+        )
+        return earlier.seen_s + part * (later.seen_s - earlier.seen_s)
 
 
 def _position_of(observation: Observation) -> Position:
--- a/libs/sessions/src/pistachiowinch/sessions/health.py
+++ b/libs/sessions/src/pistachiowinch/sessions/health.py
@@ -21,6 +21,8 @@
 LAGGING_PAUSE_S = 0.25
 # What a lagging replica had tells this long how far it is by now; then it is tried again.
 LAG_KEPT_S = 2.0
+# A replica that was expected to have a position and lacks it is not asked for so long.
+LAG_STEP_S = 0.05
 # A replica that has the same position for this long receives or applies nothing; commits come
 # several times a second.
 STALLED_S = 0.5
@@ -170,7 +172,7 @@
         return state.position is None or state.position < required
 
     def note_lag(self, target: str, position_from_s: float | None) -> None:
-        """Note from when the position is that a replica reported just now.
+        """Note from when the position is that a replica has.
 
         Between two commits it seems to fall behind, so the least of the latest figures holds.
 
@@ -180,6 +182,17 @@
         if position_from_s is not None and self._lacked_lately(state):
             state.lag_s = min(state.lag_s, now_s() - position_from_s)
 
+    def note_lacks(self, target: str, needed_from_s: float | None) -> None:
+        """Note that a replica lacks a position, whatever its own one seemed to tell.
+
+        :param needed_from_s: loop time at which the primary had the position; None if unknown.
+        """
+        state = self._state(target)
+        if needed_from_s is None:
+            state.lag_s = math.inf
+        elif not math.isinf(state.lag_s):
+            state.lag_s = max(state.lag_s, now_s() - needed_from_s + LAG_STEP_S)
+
     def lag_s(self, target: str) -> float | None:
         """Return how far a replica is behind that lacked a position lately and goes on applying."""
         state = self._states.get(target)
--- a/libs/sessions/src/pistachiowinch/sessions/singles.py
+++ b/libs/sessions/src/pistachiowinch/sessions/singles.py
@@ -42,7 +42,7 @@
         target = borrowed.held.target.name
         if target in excluded or must_be_primary:
             await sleep_s(RETRY_PAUSE_S * (attempt + 1))
-        if not reply.is_lagging:
+        if not reply.is_lagging or parts.health.lag_s(target) is None:
             excluded.add(target)
         if now_s() >= deadline_s:
             break
--- a/libs/sessions/src/pistachiowinch/sessions/transactions.py
+++ b/libs/sessions/src/pistachiowinch/sessions/transactions.py
@@ -138,12 +138,10 @@
             cause = str(outcome)
             if must_be_primary:
                 await sleep_s(RETRY_PAUSE_S * (attempt + 1))
-            match outcome:
-                case Refused(reason=ReasonRefused.LAGGING):
-                    # It may serve when it has caught up.
-                    pass
-                case _:
-                    excluded.add(borrowed.held.target.name)
+            target = borrowed.held.target.name
+            is_lagging = isinstance(outcome, Refused) and outcome.reason is ReasonRefused.LAGGING
+            if not is_lagging or self._parts.health.lag_s(target) is None:
+                excluded.add(target)
         self._aborted = cause
         self._count(INTERRUPTED_NOT_RUN.label)
         return Refusal(INTERRUPTED_NOT_RUN, "no target began the transaction")
--- a/tests/sessions/test_catching_up.py
+++ b/tests/sessions/test_catching_up.py
@@ -22,12 +22,14 @@
     """A primary that commits all the time, and replicas that apply each commit later.
 
     :ivar lag_s: how much later.
+    :ivar observe_every: number of commits of which this host sees one.
     """
 
     def __init__(self, lag_s: float) -> None:
         """Create the group; :meth:`run` makes it commit."""
         super().__init__()
         self.lag_s = lag_s
+        self.observe_every = 1
 
     async def run(self, for_s: float) -> None:
         """Commit, and let this host learn the position as its other work does."""
@@ -37,7 +39,8 @@
             self.primary.applied += 1
             for replica in self.replicas:
                 loop.call_later(self.lag_s, self._apply, replica, self.primary.applied)
-            await self.observe()
+            if self.primary.applied % self.observe_every == 0:
+                await self.observe()
             # As the host's upkeep does.
             self.connections.wake_all()
             await asyncio.sleep(COMMIT_EVERY_S)
@@ -77,6 +80,22 @@
     work.cancel()
 
 
+async def test_sparse_observations_date_positions_between_them():
+    """Each of 59 hosts sees a primary once or twice a second; replicas were then asked too early,
+    1,013 times a second (trial on menghina-pool-grown trouble-1).
+    """
+    world = LaggingGroup(STALENESS_S + 0.3)
+    world.observe_every = 20
+    work = asyncio.ensure_future(world.run(14.0))
+    await asyncio.sleep(5.0)
+    world.primary.work_s = 0.45
+    took_s = await read_often(world, 60, 0.1)
+    asked = world.metrics.retries.labels("read")._value.get()
+    assert asked < 40
+    assert sorted(took_s)[len(took_s) // 2] < 0.6
+    work.cancel()
+
+
 async def test_a_primary_that_answers_at_once_is_not_left_idle():
     """A read must not wait for a replica while the primary has free slots."""
     world = LaggingGroup(STALENESS_S + 0.5)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -39,10 +39,18 @@
 RELOAD = (Due(0.0, Signal((0,), signal.SIGHUP, 4.0)), Due(4.0, Signal((0,), signal.SIGHUP, 0.1)))
 
 
-@pytest.mark.parametrize("seed", [1])
-async def test_random_faults_break_no_promise(tmp_path, seed):
-    """Whatever the faults of a seed bring out in real processes."""
-    report = await run_soak(SoakSettings(seed, 12.0, SiteSize(HOSTS), tmp_path))
+@pytest.mark.parametrize(
+    ("seed", "hosts_count", "length_s"),
+    [
+        pytest.param(1, HOSTS, 12.0, id="short run"),
+        # The stand-in of the store lost a change; SIGHUP ended a host that was starting.
+        pytest.param(206, 4, 30.0, id="lost change"),
+        pytest.param(222, 4, 30.0, id="early reload"),
+    ],
+)
+async def test_random_faults_break_no_promise(tmp_path, seed, hosts_count, length_s):
+    """Whatever the faults of a seed bring out in real processes; seeds that failed once stay."""
+    report = await run_soak(SoakSettings(seed, length_s, SiteSize(hosts_count), tmp_path))
     assert not report.findings
     assert report.served > 100 and report.faults > 3
 
