--- a/tests/soak/unguarded.py
+++ b/tests/soak/unguarded.py
@@ -37,7 +37,7 @@
     async def attempt(*arguments):
         reply = await guarded(*arguments)
         is_unknown = getattr(reply, "code", None) is codes.OUTCOME_UNKNOWN
-        return None if is_unknown else reply
+        return singles._Again(False) if is_unknown else reply
 
     singles._attempt = attempt
 
