--- a/libs/soak/src/pistachiowinch/soak/faults.py
+++ b/libs/soak/src/pistachiowinch/soak/faults.py
@@ -212,6 +212,7 @@
         match fault.how:
             case "crash" if all(entry.is_up and entry.is_receiving for entry in others):
                 await self._site.crash(target, fault.for_s)
+                return
             case "slow":
                 target.work_factor = 10.0
             case "damaged":
--- a/libs/soak/src/pistachiowinch/soak/site.py
+++ b/libs/soak/src/pistachiowinch/soak/site.py
@@ -27,7 +27,7 @@
 from pistachiowinch.standins.line_service import LineService, LineTarget
 from pistachiowinch.standins.memory_store import MemoryStore
 
-__all__ = ["CUSTOMERS", "ROUTES", "MixedClock", "Site", "SiteSize"]
+__all__ = ["CUSTOMERS", "ROUTES", "SkewedClock", "Site", "SiteSize"]
 
 SYNCHRONOUS = "ledger"
 ASYNCHRONOUS = "stock"
@@ -58,7 +58,7 @@
 CUSTOMERS = {"wren": Rate(1000.0, 1000.0), "finch": Rate(12.0, 12.0)}
 
 
-class MixedClock:
+class SkewedClock:
     """Time of day as one target sees it.
 
     :param generator: chooses how wrong it is.
@@ -108,7 +108,7 @@
             ASYNCHRONOUS: self._service(ASYNCHRONOUS, ips[TARGETS_OF_SERVICE:]),
         }
         self.targets = [t for service in self.services.values() for t in service.targets.values()]
-        self._clocks = {target.name: MixedClock(generator) for target in self.targets}
+        self._clocks = {target.name: SkewedClock(generator) for target in self.targets}
         self.target_pipes: dict[tuple[int, int], Pipe] = {}
         self.host_pipes: dict[tuple[int, int], Pipe] = {}
         self.hosts: list[HostProcess] = []
