--- a/libs/soak/src/pistachiowinch/soak/site.py
+++ b/libs/soak/src/pistachiowinch/soak/site.py
@@ -27,7 +27,7 @@
 from pistachiowinch.standins.line_service import LineService, LineTarget
 from pistachiowinch.standins.memory_store import MemoryStore
 
-__all__ = ["CUSTOMERS", "ROUTES", "SkewedClock", "Site", "SiteSize"]
+__all__ = ["CUSTOMERS", "ROUTES", "Site", "SiteSize", "SkewedClock"]
 
 SYNCHRONOUS = "ledger"
 ASYNCHRONOUS = "stock"
