Keep one stand-in of the platform's store

Cause: the tests of the adapter had one of their own beside the soak's, with leases that never end and conditions of its own. Now: tests/platform_standins.py puts names on standins.http_store over the memory store. The renewed lease is compared within one call's bound, because the stand-in now counts its time; a lapsed one still has to give 0.

--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -17,6 +17,7 @@
     StoreUnavailable,
 )
 from pistachiowinch.platform.store import PlatformStore
+from pistachiowinch.standins.http_store import PAGE_ITEMS
 
 BOUNDS = CallBounds(timeout_s=0.3, connect_timeout_s=0.3, poll_slack_s=1.0)
 
@@ -40,13 +41,14 @@
 
 async def test_keys_pages_and_removal(store, stand_in):
     """All pages must be read, and bytes must come back unchanged."""
-    for number in range(5):
-        stand_in.put(f"a/{number}", bytes([0, 255, number]))
+    numbers = range(2 * PAGE_ITEMS + 5)
+    for number in numbers:
+        stand_in.put(f"a/{number:02}", bytes([0, 255, number]))
     snapshot = await store.read_prefix("a/")
-    assert [item.value[2] for item in snapshot.items] == [0, 1, 2, 3, 4]
-    assert snapshot.revision == stand_in.revision
-    assert (await store.get("a/3")).value == bytes([0, 255, 3])
-    assert await store.get("a/9") is None
+    assert [item.value[2] for item in snapshot.items] == list(numbers)
+    assert snapshot.revision == stand_in.store.revision
+    assert (await store.get("a/03")).value == bytes([0, 255, 3])
+    assert await store.get("a/99") is None
 
 
 async def test_changes_are_continued_from_the_answered_revision(store, stand_in):
@@ -63,7 +65,8 @@
 
 async def test_a_forgotten_history_is_told(store, stand_in):
     """platform_compact: 410 must lead to a new read and not to a missed change."""
-    stand_in.lost_before = 10
+    stand_in.put("a/1", b"x")
+    stand_in.store.compact()
     with pytest.raises(HistoryLost):
         await store.changes("a/", 1, 0.1)
 
@@ -79,25 +82,25 @@
 async def test_leases(store):
     """A lapsed lease must be told apart from a failed call."""
     lease = await store.grant_lease(3.0)
-    assert await store.keep_alive(lease) == 3.0
-    assert await store.keep_alive(1) == 0.0
+    assert await store.keep_alive(lease) == pytest.approx(3.0, abs=BOUNDS.timeout_s)
+    assert await store.keep_alive(lease + 1) == 0.0
     await store.end_lease(lease)
 
 
 async def test_a_refused_call_had_no_effect(store, stand_in):
     """A 503 promises that nothing was done, so the caller may repeat the call."""
-    stand_in.mode = "busy"
+    stand_in.refusal = 503
     with pytest.raises(StoreUnavailable):
         await store.transact([], [Put("k", b"1")])
 
 
 async def test_a_missing_answer_promises_nothing(store, stand_in):
     """platform_lost: the call may have been done, which the caller has to find out."""
-    stand_in.mode = "silent"
+    stand_in.is_silent = True
     with pytest.raises(StoreReplyLost):
         await store.transact([], [Put("k", b"1")])
-    assert "k" in stand_in.items
-    stand_in.mode = "ok"
+    assert stand_in.store.apply_get("k") is not None
+    stand_in.is_silent = False
     assert (await store.get("k")).value == b"1"
 
 
@@ -111,5 +114,5 @@
 async def test_values_that_are_not_base64_are_unreadable(store, stand_in):
     """Another writer's broken value must not stop the host."""
     stand_in.put("a/1", b"x")
-    stand_in.items["a/1"]["value"] = "%%%"
+    stand_in.raw["a/1"] = "%%%"
     assert (await store.get("a/1")).value == b""
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -1,121 +1,36 @@
 """Small stand-ins that speak the platform's protocols on loopback."""
 
 import asyncio
-import base64
-import json
 
-from aiohttp import web
+from pistachiowinch.links.store import Delete, Put
+from pistachiowinch.standins.http_store import HttpStore
+from pistachiowinch.standins.memory_store import MemoryStore
 
 
-class StoreStandIn:
-    """The store's HTTP interface over a dictionary.
+class StoreStandIn(HttpStore):
+    """The store's HTTP interface over a store in memory.
 
-    :ivar mode: ``ok``, ``busy`` (503) or ``silent`` (applies calls without an answer).
+    :ivar store: its content.
+    :ivar raw: texts that are sent in place of the encoded values, by key.
     """
 
     def __init__(self) -> None:
         """Create an empty store."""
-        self.items: dict[str, dict] = {}
-        self.events: list[dict] = []
-        self.revision = 1
-        self.lost_before = 0
-        self.mode = "ok"
-        self.address = ""
-        self._runner: web.AppRunner | None = None
-
-    async def start(self) -> None:
-        """Listen on a free port."""
-        app = web.Application(middlewares=[self._fail])
-        base = "/pistachiowinch"
-        app.router.add_get(f"{base}/kv-key", self._key)
-        app.router.add_get(f"{base}/kv-range", self._range)
-        app.router.add_get(f"{base}/kv-watch", self._watch)
-        app.router.add_post(f"{base}/kv-txn", self._txn)
-        app.router.add_post(f"{base}/kv-lease", self._lease)
-        app.router.add_post(f"{base}/kv-keep/{{lease}}", self._keep)
-        app.router.add_delete(f"{base}/kv-lease-end/{{lease}}", self._end)
-        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
-        await self._runner.setup()
-        site = web.TCPSite(self._runner, "127.0.0.1", 0)
-        await site.start()
-        self.address = f"127.0.0.1:{site._server.sockets[0].getsockname()[1]}"
+        self.store = MemoryStore()
+        self.raw: dict[str, str] = {}
+        super().__init__(self.store)
 
-    async def stop(self) -> None:
-        """Stop listening."""
-        await self._runner.cleanup()
-
-    def put(self, key: str, value: bytes, lease: int = 0) -> None:
+    def put(self, key: str, value: bytes) -> None:
         """Write a key."""
-        self.revision += 1
-        text = base64.b64encode(value).decode()
-        item = {"key": key, "value": text, "revision": self.revision, "created": 1}
-        self.items[key] = {**item, "leaseId": lease}
-        self.events.append(self.items[key])
+        self.store.apply_transact([], [Put(key, value)])
 
     def remove(self, key: str) -> None:
         """Remove a key."""
-        self.revision += 1
-        self.items.pop(key, None)
-        self.events.append({"key": key, "revision": self.revision, "deleted": True})
-
-    @web.middleware
-    async def _fail(self, request, handler):
-        if self.mode == "busy":
-            return web.Response(status=503)
-        response = await handler(request)
-        if self.mode == "silent":
-            await asyncio.sleep(30)
-        return response
-
-    async def _key(self, request):
-        item = self.items.get(request.query["key"])
-        if item is None:
-            return web.Response(status=404)
-        return web.json_response({**item, "atRev": self.revision})
-
-    async def _range(self, request):
-        keys = sorted(k for k in self.items if k.startswith(request.query["prefix"]))
-        keys = [key for key in keys if key > request.query.get("after", "")]
-        page = [self.items[key] for key in keys[:2]]
-        return web.json_response({"items": page, "hasMore": len(keys) > 2, "atRev": self.revision})
-
-    async def _watch(self, request):
-        after = int(request.query["after"])
-        if after < self.lost_before:
-            return web.Response(status=410)
-        for _ in range(int(request.query["waitMs"]) // 10 + 1):
-            prefix = request.query["prefix"]
-            found = [
-                event
-                for event in self.events
-                if event["revision"] > after and event["key"].startswith(prefix)
-            ]
-            if found:
-                break
-            await asyncio.sleep(0.01)
-        return web.json_response({"events": found, "atRev": self.revision})
-
-    async def _txn(self, request):
-        body = json.loads(await request.read())
-        for row in body["expected"]:
-            if self.items.get(row["key"], {"revision": 0})["revision"] != row["revision"]:
-                return web.json_response({"items": []}, status=412)
-        for row in body["setKeys"]:
-            self.put(row["key"], base64.b64decode(row["value"], validate=True), row["leaseId"])
-        for key in body["remove"]:
-            self.remove(key)
-        return web.json_response({"revision": self.revision})
-
-    async def _lease(self, request):
-        return web.json_response({"leaseId": 77, **json.loads(await request.read())})
-
-    async def _keep(self, request):
-        if request.match_info["lease"] != "77":
-            return web.Response(status=404)
-        return web.json_response({"ttlMs": 3000})
-
-    async def _end(self, request):
-        return web.json_response({})
+        self.store.apply_transact([], [Delete(key)])
+
+    def _item(self, key, value, revision, lease):
+        item = super()._item(key, value, revision, lease)
+        return item | {"value": self.raw.get(key, item["value"])}
 
 
 class TargetStandIn:
