Keep the platform's names of the soak in the stand-ins; name its figures

Found by reading: site.py and callers.py of the soak wrote the platform's keys, fields and lines, which belong into platform/ and the stand-ins; measure and soak each ran their typer application in the same way, which operations/main.py now does for both; statuses, delays and shares of faults were bare numbers. Nothing of the product changes.

--- a/libs/measure/src/pistachiowinch/measure/main.py
+++ b/libs/measure/src/pistachiowinch/measure/main.py
@@ -12,7 +12,7 @@
 from pistachiowinch.measure.speed_gateway import start_whole_gateway
 from pistachiowinch.measure.table import GROUPS, Effort, Row, format_rows, measure_rows
 
-__all__ = ["main"]
+__all__ = ["app"]
 
 _QUICK = Effort(failovers=10, rates_s=30.0, fairness_s=5.0, promises_s=10.0)
 
@@ -61,19 +61,3 @@
     """Print the slopes that docs/CAPACITY.md uses, each with its points."""
     for slope in asyncio.run(measure_slopes()):
         typer.echo(format_slope(slope))
-
-
-def main(arguments: Sequence[str] | None = None) -> int:
-    """Run the command line.
-
-    :param arguments: without the program's name; those of the process by default.
-    :returns: exit code.
-    """
-    command = typer.main.get_command(app)
-    try:
-        command.main(
-            args=None if arguments is None else list(arguments), prog_name="pistachiowinch measure"
-        )
-    except SystemExit as end:
-        return end.code if isinstance(end.code, int) else 1
-    return 0
--- a/libs/operations/src/pistachiowinch/operations/main.py
+++ b/libs/operations/src/pistachiowinch/operations/main.py
@@ -1,6 +1,7 @@
 """Command line ``pistachiowinch``."""
 
 import asyncio
+import importlib
 import json
 import os
 import sys
@@ -309,11 +310,7 @@
 )
 def measure(context: typer.Context) -> None:
     """Print the table of measures against the baselines; see `measure --help`."""
-    try:
-        from pistachiowinch.measure.main import main as measure_main
-    except ModuleNotFoundError as error:
-        _fail(f"This installation has no measurements: {error}.")
-    raise typer.Exit(measure_main(context.args))
+    _run_extra("measure", context)
 
 
 @app.command(
@@ -322,11 +319,17 @@
 )
 def soak(context: typer.Context) -> None:
     """Run hosts as processes under random faults; see `soak --help`."""
+    _run_extra("soak", context)
+
+
+def _run_extra(name: str, context: typer.Context) -> NoReturn:
+    """Run a command of a library that an installation may lack."""
     try:
-        from pistachiowinch.soak.main import main as soak_main
+        extra = importlib.import_module(f"pistachiowinch.{name}.main")
     except ModuleNotFoundError as error:
-        _fail(f"This installation has no soak: {error}.")
-    raise typer.Exit(soak_main(context.args))
+        _fail(f"This installation has no `{name}`: {error}.")
+    command = typer.main.get_command(extra.app)
+    command.main(args=list(context.args), prog_name=f"pistachiowinch {name}")
 
 
 def main() -> None:
--- a/libs/soak/src/pistachiowinch/soak/callers.py
+++ b/libs/soak/src/pistachiowinch/soak/callers.py
@@ -1,6 +1,5 @@
 """Callers that run operations in sessions and tell the checker what they see."""
 
-import asyncio
 import itertools
 import random
 from collections.abc import Callable, Sequence
@@ -8,8 +7,9 @@
 
 from pistachiowinch.base.clock import sleep_s
 from pistachiowinch.soak.checker import Attempt, Checker
+from pistachiowinch.standins.line_caller import LineCaller, SessionBroken
 
-__all__ = ["OPEN_TIMEOUT_S", "Caller", "CallerRoute", "Operations"]
+__all__ = ["ANSWER_TIMEOUT_S", "OPEN_TIMEOUT_S", "Caller", "CallerRoute", "Operations"]
 
 # A caller gives up a session that does not open or answer in time.
 OPEN_TIMEOUT_S = 2.0
@@ -34,10 +34,6 @@
     sees_own: bool
 
 
-class _Broken(Exception):
-    """The session cannot go on."""
-
-
 class Operations:
     """Counts of operations by host and outcome.
 
@@ -74,23 +70,13 @@
         self._transaction = 0
         self._begun_required: tuple | None = None
         self._written: list[str] = []
-        self._reader: asyncio.StreamReader | None = None
-        self._writer: asyncio.StreamWriter | None = None
+        self._line = LineCaller(OPEN_TIMEOUT_S, ANSWER_TIMEOUT_S)
 
     async def open(self, address: tuple[str, int], key: str) -> None:
-        try:
-            async with asyncio.timeout(OPEN_TIMEOUT_S):
-                self._reader, self._writer = await asyncio.open_connection(*address)
-                self._writer.write(f"START {self._route.database} {key}\r\n".encode())
-                line = await self._read_line()
-        except (OSError, EOFError, TimeoutError) as error:
-            raise _Broken(repr(error)) from error
-        if not line.startswith("READY"):
-            raise _Broken(line)
+        await self._line.open(address, self._route.database, key)
 
     def close(self) -> None:
-        if self._writer is not None:
-            self._writer.close()
+        self._line.close()
 
     async def begin(self, is_read_only: bool) -> None:
         self._transaction = next(self._numbers)
@@ -116,15 +102,14 @@
         required = self._begun_required
         if required is None:
             required = self._required()
-        request_id = f"{self._generator.getrandbits(64):016x}"
-        service = self._route.service
+        request_id = self._new_id()
         attempt = Attempt(
             request_id,
             self.number,
             self._transaction,
             text,
             self._customer,
-            service,
+            self._route.service,
             self._values,
             shape,
             required,
@@ -140,35 +125,16 @@
         return self._checker.required(route.service, self.number, route.staleness_s, route.sees_own)
 
     async def _send(self, text: str, request_id: str = "") -> tuple[tuple[str, ...], str]:
-        request_id = request_id or f"{self._generator.getrandbits(64):016x}"
-        try:
-            async with asyncio.timeout(ANSWER_TIMEOUT_S):
-                self._writer.write(f"QUERY {request_id} {text}\r\n".encode())
-                return await self._read_answer(request_id)
-        except (OSError, EOFError, TimeoutError) as error:
-            raise _Broken(repr(error)) from error
-
-    async def _read_answer(self, request_id: str) -> tuple[tuple[str, ...], str]:
-        rows: list[str] = []
-        receipt, error = "", ""
-        while True:
-            word, _, rest = (await self._read_line()).partition(" ")
-            match word:
-                case "ROW":
-                    rows.append(rest)
-                case "DONE":
-                    receipt = rest
-                case "ERROR":
-                    error = rest
-                case "READY" if error:
-                    written = tuple(self._written) if self._transaction else ()
-                    self._checker.refused(request_id, error.split(" ")[0], written)
-                    raise _Broken(error)
-                case "READY":
-                    return tuple(rows), receipt
-
-    async def _read_line(self) -> str:
-        return (await self._reader.readuntil(b"\r\n"))[:-2].decode("latin-1")
+        request_id = request_id or self._new_id()
+        answer = await self._line.send(request_id, text)
+        if answer.error:
+            written = tuple(self._written) if self._transaction else ()
+            self._checker.refused(request_id, answer.error, written)
+            raise SessionBroken(answer.error)
+        return answer.rows, answer.receipt
+
+    def _new_id(self) -> str:
+        return f"{self._generator.getrandbits(64):016x}"
 
 
 class Caller:
@@ -209,7 +175,7 @@
             try:
                 await session.open(self._addresses[host], self._key())
                 await self._use(session, host)
-            except _Broken:
+            except SessionBroken:
                 self._operations.note(host, False)
                 await sleep_s(RETURN_S)
             finally:
--- a/libs/soak/src/pistachiowinch/soak/checker.py
+++ b/libs/soak/src/pistachiowinch/soak/checker.py
@@ -115,7 +115,7 @@
         self._disturbed_s = disturbed_s
         self._attempts: dict[str, Attempt] = {}
         self._receipts: dict[str, Execution] = {}
-        self._commits: dict[str, tuple[str, str, Commit]] = {}
+        self._commits: dict[str, tuple[str, Commit]] = {}
         self._committed: dict[str, Position] = {}
         self._promised: set[str] = set()
         self._acknowledged: dict[str, _Acknowledged] = {}
@@ -162,7 +162,7 @@
         found = self._commits.get(request_id)
         if found is None:
             return
-        service, _, commit = found
+        service, commit = found
         if request_id in self._late:
             self.report("ONE", f"{request_id} at {commit.position} was acknowledged")
         if request_id in self._rolled_back:
@@ -207,7 +207,7 @@
 
     def committed(self, service: str, target: str, source: str, commit: Commit) -> None:
         """Check a commit before it is acknowledged."""
-        self._commits[commit.request_id] = (service, target, commit)
+        self._commits[commit.request_id] = (service, commit)
         for name in commit.written:
             if name in self._committed:
                 self.report("TWICE", f"{name} at {self._committed[name]} and {commit.position}")
@@ -230,7 +230,7 @@
 
         self._rolled_back |= {
             name
-            for name, (owner, _, commit) in self._commits.items()
+            for name, (owner, commit) in self._commits.items()
             if owner == service and is_lost(commit.position)
         }
         known = self._acknowledged.setdefault(service, _Acknowledged())
--- a/libs/soak/src/pistachiowinch/soak/faults.py
+++ b/libs/soak/src/pistachiowinch/soak/faults.py
@@ -28,6 +28,17 @@
 LONGEST_S = 6.0
 # How often a host whose statements are held back is noted as disturbed.
 HELD_LOOK_S = 0.1
+# A store that turns hosts away answers that they call too often.
+BUSY_STATUS = 429
+# A slow store takes this much longer, about 50 times its usual answer.
+SLOW_STORE_S = 0.25
+# Writes whose answers are lost, enough for a registration with its retries.
+LOST_REPLIES = 3
+# A slow target takes this many times as long; a damaged one fails this part of its statements.
+SLOW_TARGET = 10.0
+DAMAGED_SHARE = 0.5
+# Each chunk through a delayed pipe; half of a heartbeat.
+PIPE_DELAY_S = 0.1
 # Part of the plan's faults that hit all hosts at once.
 ALL_SHARE = 0.1
 
@@ -170,16 +181,16 @@
         for front in fronts:
             match how:
                 case "busy":
-                    front.refusal = 429
+                    front.refusal = BUSY_STATUS
                 case "silent":
                     front.is_silent = True
                     front.faults.silence_watches()
                 case "slow":
-                    front.faults.delay_s = 0.25
+                    front.faults.delay_s = SLOW_STORE_S
                 case "down":
                     front.faults.is_down = True
                 case "lost_replies":
-                    front.faults.lost_replies = 3
+                    front.faults.lost_replies = LOST_REPLIES
         await sleep_s(for_s)
         for front in fronts:
             front.refusal = 0
@@ -214,9 +225,9 @@
                 await self._site.crash(target, fault.for_s)
                 return
             case "slow":
-                target.work_factor = 10.0
+                target.work_factor = SLOW_TARGET
             case "damaged":
-                target.failing_share = 0.5
+                target.failing_share = DAMAGED_SHARE
             case "lagging" if all(entry.is_up and entry.is_receiving for entry in others):
                 target.is_receiving = False
         await sleep_s(fault.for_s)
@@ -235,7 +246,7 @@
         case "cut":
             pipe.is_cut_there = pipe.is_cut_back = True
         case "delayed":
-            pipe.delay_s = 0.1
+            pipe.delay_s = PIPE_DELAY_S
         case "reset":
             pipe.reset()
         case "silent":
--- a/libs/soak/src/pistachiowinch/soak/hosts.py
+++ b/libs/soak/src/pistachiowinch/soak/hosts.py
@@ -7,10 +7,13 @@
 from collections.abc import Callable, Sequence
 from pathlib import Path
 
-import msgspec
-
 from pistachiowinch.base.clock import now_s, sleep_s
 from pistachiowinch.fleet.switching import PROOF_MARGIN_S
+from pistachiowinch.standins.platform_documents import (
+    SETTINGS_VARIABLE,
+    HostRow,
+    settings_bytes,
+)
 
 __all__ = ["PROGRAM", "HostProcess"]
 
@@ -33,7 +36,7 @@
     """One host.
 
     :param number: number of its addresses.
-    :param settings: content of its settings file.
+    :param row: its settings.
     :param folder: where its settings and its log are written.
     :param program: command that runs a host.
     :param on_ended: called with the exit status if the process ends by itself.
@@ -43,14 +46,14 @@
     def __init__(
         self,
         number: int,
-        settings: dict,
+        row: HostRow,
         folder: Path,
         program: Sequence[str],
         on_ended: Callable[["HostProcess", int], None],
     ) -> None:
         """Write the settings; :meth:`run` starts the process."""
         self.number = number
-        self.name = settings["node"]
+        self.name = row.host
         self.disturbed_s = 0.0
         self._program = program
         self._on_ended = on_ended
@@ -58,7 +61,7 @@
         self._is_expected = False
         self._is_paused = False
         self._settings = folder / f"{self.name}.json"
-        self._settings.write_bytes(msgspec.json.encode(settings))
+        self._settings.write_bytes(settings_bytes(row))
         self._log = folder / f"{self.name}.log"
 
     @property
@@ -69,7 +72,7 @@
     async def run(self) -> None:
         """Keep the host running until cancelled."""
         environment = os.environ | {
-            "PISTACHIOWINCH_SETTINGS": str(self._settings),
+            SETTINGS_VARIABLE: str(self._settings),
             "PYTHONPATH": os.pathsep.join(sys.path),
         }
         with self._log.open("ab") as log:
--- a/libs/soak/src/pistachiowinch/soak/main.py
+++ b/libs/soak/src/pistachiowinch/soak/main.py
@@ -3,7 +3,6 @@
 import asyncio
 import json
 import tempfile
-from collections.abc import Sequence
 from pathlib import Path
 from typing import Annotated
 
@@ -12,7 +11,7 @@
 from pistachiowinch.soak.run import Report, SoakSettings, run_soak
 from pistachiowinch.soak.site import SiteSize
 
-__all__ = ["app", "main"]
+__all__ = ["app"]
 
 _S_PER_MIN = 60.0
 # Hosts whose connections all pass through pipes; more need too many listeners.
@@ -62,19 +61,3 @@
     if report.findings:
         lines.append(f"  Logs: {place}")
     return "\n".join(lines)
-
-
-def main(arguments: Sequence[str] | None = None) -> int:
-    """Run the command line.
-
-    :param arguments: without the program's name; those of the process by default.
-    :returns: exit code.
-    """
-    command = typer.main.get_command(app)
-    try:
-        command.main(
-            args=None if arguments is None else list(arguments), prog_name="pistachiowinch soak"
-        )
-    except SystemExit as end:
-        return end.code if isinstance(end.code, int) else 1
-    return 0
--- a/libs/soak/src/pistachiowinch/soak/network.py
+++ b/libs/soak/src/pistachiowinch/soak/network.py
@@ -43,6 +43,7 @@
     def __init__(self) -> None:
         """Claim a network by listening at one of its addresses."""
         for number in _NETWORKS:
+            # Another soak has it.
             with contextlib.suppress(OSError):
                 self._claim = socket.create_server((f"127.{number}.0.1", PEERS_PORT))
                 self._prefix = f"127.{number}"
@@ -168,6 +169,7 @@
         writer: asyncio.StreamWriter,
         is_cut: Callable[[], bool],
     ) -> None:
+        # An end that broke off takes the other end with it, as without a pipe.
         with contextlib.suppress(OSError):
             while data := await reader.read(_PIPE_BYTES):
                 if self.delay_s:
--- a/libs/soak/src/pistachiowinch/soak/run.py
+++ b/libs/soak/src/pistachiowinch/soak/run.py
@@ -1,17 +1,17 @@
 """Runs one soak and reports what it found."""
 
-import asyncio
 import random
 from collections.abc import Sequence
 from pathlib import Path
 from typing import NamedTuple
 
 from pistachiowinch.base.clock import now_s, sleep_s
-from pistachiowinch.soak.callers import OPEN_TIMEOUT_S, Caller, Operations
+from pistachiowinch.soak.callers import ANSWER_TIMEOUT_S, OPEN_TIMEOUT_S, Caller, Operations
 from pistachiowinch.soak.checker import Finding
 from pistachiowinch.soak.faults import Due, Injector, plan
 from pistachiowinch.soak.hosts import PROGRAM
 from pistachiowinch.soak.site import CUSTOMERS, ROUTES, Site, SiteSize
+from pistachiowinch.standins.line_caller import LineCaller, SessionBroken
 
 __all__ = ["Report", "SoakSettings", "run_soak"]
 
@@ -139,13 +139,11 @@
 
 async def _is_admitted(address: tuple[str, int], key: str) -> bool:
     """Whether a host opens a session; one that is down opens none."""
+    session = LineCaller(OPEN_TIMEOUT_S, ANSWER_TIMEOUT_S)
     try:
-        async with asyncio.timeout(OPEN_TIMEOUT_S):
-            reader, writer = await asyncio.open_connection(*address)
-            try:
-                writer.write(f"START {ROUTES[0].database} {key}\r\n".encode())
-                return (await reader.readline()).startswith(b"READY")
-            finally:
-                writer.close()
-    except (OSError, TimeoutError):
+        await session.open(address, ROUTES[0].database, key)
+    except SessionBroken:
         return False
+    finally:
+        session.close()
+    return True
--- a/libs/soak/src/pistachiowinch/soak/site.py
+++ b/libs/soak/src/pistachiowinch/soak/site.py
@@ -7,11 +7,8 @@
 from pathlib import Path
 from typing import NamedTuple
 
-import msgspec
-from aiohttp import web
-
 from pistachiowinch.base.clock import now_s, sleep_s
-from pistachiowinch.links.store import Delete, Operation, Put
+from pistachiowinch.links.store import Delete, Operation
 from pistachiowinch.soak.callers import CallerRoute
 from pistachiowinch.soak.checker import Checker, Rate
 from pistachiowinch.soak.hosts import HostProcess
@@ -23,9 +20,19 @@
     Network,
     Pipe,
 )
+from pistachiowinch.standins.http_orders import HttpOrders, PromotionOrder
 from pistachiowinch.standins.http_store import HttpStore
 from pistachiowinch.standins.line_service import LineService, LineTarget
 from pistachiowinch.standins.memory_store import MemoryStore
+from pistachiowinch.standins.platform_documents import (
+    CustomerRow,
+    HostRow,
+    RouteRow,
+    TargetRow,
+    configuration_put,
+    target_key,
+    target_put,
+)
 
 __all__ = ["CUSTOMERS", "ROUTES", "Site", "SiteSize", "SkewedClock"]
 
@@ -43,16 +50,17 @@
 CLOCK_ERROR_S = 5.0
 _MS_PER_S = 1000.0
 
-# Databases with the route's kind, service and staleness.
-_KINDS = (
-    ("billing", "primary", SYNCHRONOUS, 0.0),
-    ("booking", "read_your_writes", SYNCHRONOUS, 2.5),
-    ("lookup", "bounded", ASYNCHRONOUS, 1.5),
-    ("counter", "primary", ASYNCHRONOUS, 0.0),
+# Longer than any statement takes beside a fault.
+STATEMENT_TIMEOUT_S = 3.0
+_ROUTES = (
+    RouteRow("billing", SYNCHRONOUS, "primary", STATEMENT_TIMEOUT_S, 0.0),
+    RouteRow("booking", SYNCHRONOUS, "read_your_writes", STATEMENT_TIMEOUT_S, 2.5),
+    RouteRow("lookup", ASYNCHRONOUS, "bounded", STATEMENT_TIMEOUT_S, 1.5),
+    RouteRow("counter", ASYNCHRONOUS, "primary", STATEMENT_TIMEOUT_S, 0.0),
 )
 ROUTES = tuple(
-    CallerRoute(database, service, staleness_s, kind == "read_your_writes")
-    for database, kind, service, staleness_s in _KINDS
+    CallerRoute(row.database, row.service, row.staleness_s, row.kind == "read_your_writes")
+    for row in _ROUTES
 )
 # The second customer's callers press far beyond its rate.
 CUSTOMERS = {"wren": Rate(1000.0, 1000.0), "finch": Rate(12.0, 12.0)}
@@ -118,7 +126,7 @@
         self._program = program
         self._versions = itertools.count(1)
         self._tasks: set[asyncio.Task] = set()
-        self._orders: web.AppRunner | None = None
+        self._orders = HttpOrders(self._promote)
 
     @property
     def addresses(self) -> dict[str, tuple[str, int]]:
@@ -133,12 +141,12 @@
             await target.start()
             self.register(target)
         self.configure()
-        orders_address = await self._start_orders()
+        await self._orders.start()
         for number in range(self.size.hosts):
             if self.size.has_pipes:
                 await self._start_pipes(number)
-            settings = self._settings(number, orders_address)
-            host = HostProcess(number, settings, self._folder, self._program, self._on_ended)
+            row = self._row(number)
+            host = HostProcess(number, row, self._folder, self._program, self._on_ended)
             self.hosts.append(host)
         for host in self.hosts:
             self.spawn(host.run())
@@ -156,8 +164,7 @@
             await target.stop()
         for front in self.fronts:
             await front.stop()
-        if self._orders is not None:
-            await self._orders.cleanup()
+        await self._orders.stop()
         self.network.close()
 
     def spawn(self, work: Coroutine) -> None:
@@ -169,39 +176,25 @@
     def configure(self) -> None:
         """Put a version with new keys in force; those of the version before the last one end."""
         version = next(self._versions)
-        tenants = []
+        customers = []
         for name, rate in CUSTOMERS.items():
             self.withdrawn[name], old = self.keys[name], self.keys[name]
             self.keys[name] = f"key-{name}-{version}"
-            keys = [self.keys[name]]
+            keys = (self.keys[name],)
             if version % 2 and old:
                 # Every second version lets the old keys live on.
-                keys.append(old)
+                keys = (self.keys[name], old)
                 self.withdrawn[name] = ""
-            row = {"name": name, "apiKeys": keys, "ratePerS": rate.per_s, "burst": rate.burst}
-            tenants.append(row)
-        routes = [
-            {
-                "host": database,
-                "service": service,
-                "kind": kind,
-                "timeoutMs": 3000,
-                "maxStalenessMs": staleness_s * _MS_PER_S,
-            }
-            for database, kind, service, staleness_s in _KINDS
-        ]
-        services = [
-            {"name": name, "maxConns": LineService.max_connections} for name in self.services
-        ]
-        body = {"version": version, "routes": routes, "services": services, "tenants": tenants}
-        self._write([Put("op/config", msgspec.json.encode(body | {"limits": {}}))])
+            customers.append(CustomerRow(name, keys, rate.per_s, rate.burst))
+        connections = dict.fromkeys(self.services, LineService.max_connections)
+        self._write(configuration_put(version, _ROUTES, connections, customers))
 
     async def crash(self, target: LineTarget, for_s: float) -> None:
         """Stop a target for some time."""
         await target.stop()
         await sleep_s(min(for_s, FORGET_TARGET_S))
         if for_s > FORGET_TARGET_S:
-            self._write([Delete(f"servers/{target.name}")])
+            self._write(Delete(target_key(target.name)))
             await sleep_s(for_s - FORGET_TARGET_S)
         await target.start()
         self.register(target)
@@ -209,23 +202,24 @@
     def register(self, target: LineTarget) -> None:
         """Write a target's entry."""
         zone = ZONES[self.targets.index(target) % len(ZONES)]
-        entry = {
-            "service": target.service.name,
-            "address": target.address,
-            "zone": zone,
-            "state": "ready",
-            "dbRole": "primary" if target.is_primary else "replica",
-            "slots": LineService.slots,
-            "born": self._clocks[target.name].now_ms(),
-        }
-        self._write([Put(f"servers/{target.name}", msgspec.json.encode(entry))])
-
-    def _write(self, operations: list[Operation]) -> None:
-        self.store.apply_transact([], operations)
+        row = TargetRow(
+            name=target.name,
+            service=target.service.name,
+            address=target.address,
+            availability_zone=zone,
+            is_primary=target.is_primary,
+            slots=LineService.slots,
+            born_ms=self._clocks[target.name].now_ms(),
+        )
+        self._write(target_put(row))
+
+    def _write(self, operation: Operation) -> None:
+        self.store.apply_transact([], [operation])
 
     def _front(self, number: int) -> HttpStore:
-        translate = self.network.translation(number) if self.size.has_pipes else None
-        return HttpStore(self.store, translate) if translate else HttpStore(self.store)
+        if not self.size.has_pipes:
+            return HttpStore(self.store)
+        return HttpStore(self.store, self.network.translation(number))
 
     def _service(self, name: str, ips: Sequence[str]) -> LineService:
         is_synchronous = name == SYNCHRONOUS
@@ -247,34 +241,24 @@
             self.host_pipes[viewer, number] = pipe
             await pipe.start()
 
-    def _settings(self, number: int, orders_address: str) -> dict:
+    def _row(self, number: int) -> HostRow:
         ip = self.network.host(number)
-        return {
-            "node": f"host-{number}",
-            "ip": ip,
-            "zone": ZONES[number % len(ZONES)],
-            "listen": {"front": f"{ip}:{CALLERS_PORT}", "ready": f"{ip}:{READY_PORT}"},
-            "portRange": [PEERS_PORT, PEERS_PORT],
-            "platform": {"address": self.fronts[number].address},
-            "cloudApi": {"address": orders_address},
-            "bounds": {"graceS": GRACE_S},
-        }
-
-    async def _start_orders(self) -> str:
-        app = web.Application()
-        app.router.add_post("/promote", self._promote)
-        self._orders = web.AppRunner(app, access_log=None)
-        await self._orders.setup()
-        await web.TCPSite(self._orders, "127.0.0.1", 0).start()
-        return f"127.0.0.1:{self._orders.addresses[0][1]}"
-
-    async def _promote(self, request: web.Request) -> web.Response:
-        body = msgspec.json.decode(await request.read())
-        headers = request.headers
-        self.checker.ordered(headers["Duty-Holder"], int(headers["Fence-Token"]))
-        service = self.services.get(body["service"])
-        is_taken = service is not None and await service.promote(body["id"])
-        return web.Response(status=200 if is_taken else 409)
+        return HostRow(
+            host=f"host-{number}",
+            ip=ip,
+            availability_zone=ZONES[number % len(ZONES)],
+            callers_address=f"{ip}:{CALLERS_PORT}",
+            ready_address=f"{ip}:{READY_PORT}",
+            peers_port=PEERS_PORT,
+            store_address=self.fronts[number].address,
+            orders_address=self._orders.address,
+            stop_within_s=GRACE_S,
+        )
+
+    async def _promote(self, order: PromotionOrder) -> bool:
+        self.checker.ordered(order.holder, order.fence)
+        service = self.services.get(order.service)
+        return service is not None and await service.promote(order.target)
 
     def _on_ended(self, host: HostProcess, status: int) -> None:
         self.checker.report("ENDED", f"{host.name} ended by itself with status {status}")
--- /dev/null
+++ b/libs/standins/src/pistachiowinch/standins/http_orders.py
@@ -0,0 +1,59 @@
+"""The platform's interface that takes promotion orders, over HTTP."""
+
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+import msgspec
+from aiohttp import web
+
+__all__ = ["HttpOrders", "PromotionOrder"]
+
+
+class PromotionOrder(NamedTuple):
+    """An order that a target leads its service.
+
+    :param holder: host that holds the duty.
+    :param fence: its fencing token.
+    """
+
+    service: str
+    target: str
+    holder: str
+    fence: int
+
+
+class HttpOrders:
+    """Server for orders.
+
+    :param take: called with each order; returns whether the target runs.
+    """
+
+    def __init__(self, take: Callable[[PromotionOrder], Awaitable[bool]]) -> None:
+        """Create a server that does not listen yet."""
+        self._take = take
+        self._runner: web.AppRunner | None = None
+        self.address = ""
+
+    async def start(self, ip: str = "127.0.0.1") -> None:
+        """Listen at a free port of an address."""
+        app = web.Application()
+        app.router.add_post("/promote", self._promote)
+        self._runner = web.AppRunner(app, access_log=None)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, ip, 0).start()
+        self.address = f"{ip}:{self._runner.addresses[0][1]}"
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _promote(self, request: web.Request) -> web.Response:
+        body = msgspec.json.decode(await request.read())
+        order = PromotionOrder(
+            body["service"],
+            body["id"],
+            request.headers["Duty-Holder"],
+            int(request.headers["Fence-Token"]),
+        )
+        return web.Response(status=200 if await self._take(order) else 409)
--- a/libs/standins/src/pistachiowinch/standins/line_service.py
+++ b/libs/standins/src/pistachiowinch/standins/line_service.py
@@ -419,6 +419,8 @@
     :param port: port of all targets; each takes a free one by default.
     """
 
+    # Slots and lag as the users' targets have them, connections for more hosts than a soak has with
+    # pipes, and short work, so that a minute sees many statements.
     slots = 6
     max_connections = 60
     work_s = 0.01
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -8,7 +8,7 @@
 import pytest
 
 from pistachiowinch.soak import hosts
-from pistachiowinch.soak.faults import Due, LinkTrouble, Signal, StoreTrouble
+from pistachiowinch.soak.faults import Due, LinkTrouble, Signal, StoreTrouble, TargetTrouble
 from pistachiowinch.soak.run import SoakSettings, run_soak
 from pistachiowinch.soak.site import SiteSize
 from pistachiowinch.standins import line_service
@@ -36,6 +36,8 @@
     Due(1.0, LinkTrouble(0, True, (PRIMARY,), "cut", CUT_S)),
     Due(1.0, LinkTrouble(2, True, (PRIMARY,), "cut", CUT_S)),
 )
+# One replica of each service receives nothing.
+LAG = tuple(Due(0.0, TargetTrouble(target, "lagging", 6.0)) for target in (1, 4))
 RELOAD = (Due(0.0, Signal((0,), signal.SIGHUP, 4.0)), Due(4.0, Signal((0,), signal.SIGHUP, 0.1)))
 
 
@@ -58,7 +60,7 @@
 @pytest.mark.parametrize(
     ("guard", "rules", "faults"),
     [
-        ("read_anything", {"STALE"}, RELOAD),
+        ("read_anything", {"STALE"}, LAG),
         ("share_state", {"PINNED"}, RELOAD),
         ("ignore_rates", {"QUOTA"}, RELOAD),
         ("repeat_writes", {"TWICE"}, RESETS),
@@ -81,7 +83,7 @@
 async def test_the_same_faults_break_nothing_with_all_guards(tmp_path, monkeypatch):
     """Faults that a checker always objects to would prove no guard."""
     monkeypatch.setattr(line_service, "REPLACED_S", CUT_S)
-    for number, faults in enumerate((RESETS, LEFT_BEHIND)):
+    for number, faults in enumerate((LAG, RESETS, LEFT_BEHIND)):
         folder = tmp_path / str(number)
         folder.mkdir()
         settings = SoakSettings(1, 0.0, SiteSize(HOSTS), folder, faults=faults)
--- a/tests/soak/unguarded.py
+++ b/tests/soak/unguarded.py
@@ -6,7 +6,7 @@
 from pistachiowinch.fleet.currency import CurrencyProof
 from pistachiowinch.limits.rates import RateEscrow
 from pistachiowinch.links.statements import Position, Ran
-from pistachiowinch.platform.program import serve
+from pistachiowinch.platform.serving import serve
 from pistachiowinch.platform.settings import settings_path
 from pistachiowinch.sessions import borrowing, exchanges, singles
 
