--- a/libs/entry/src/pistachiowinch/entry/host.py
+++ b/libs/entry/src/pistachiowinch/entry/host.py
@@ -55,12 +55,6 @@
 DRAIN_SLACK_S = 0.25
 # A host of the council that was not heard for this long, five heartbeats, is not asked.
 COUNCIL_HEARD_S = 1.0
-# Hosts and targets of a new fleet register within a second or two, each with a change that all
-# hosts read as long as there is no council.
-GATHER_NEW_FLEET_S = 0.4
-# Time from its start in which a host cannot know yet how many more there are: hosts of a site start
-# within 0.3 s, a slow processor takes two seconds until it registers.
-FLEET_STARTS_S = 3.0
 # Bits of the random number that tells one run of a host from the next.
 RUN_BITS = 47
 
@@ -307,12 +301,10 @@
         return [r for r in last if r is not None and r.received_s >= oldest_s]
 
     def _gather_s(self) -> float:
-        return GATHER_NEW_FLEET_S if self._council.is_missing else 0.0
+        return self._council.gather_s
 
     def _gather_hosts_s(self) -> float:
-        is_starting = now_s() - self._started_s < FLEET_STARTS_S
-        is_alone = self._council.record is None
-        return GATHER_NEW_FLEET_S if is_starting and is_alone else self._gather_s()
+        return self._council.gather_hosts_s(now_s() - self._started_s)
 
     def _adopt_all(self, items: Iterable[KeyValue]) -> None:
         for item in items:
--- a/libs/fleet/src/pistachiowinch/fleet/council.py
+++ b/libs/fleet/src/pistachiowinch/fleet/council.py
@@ -40,6 +40,12 @@
 VOTER_ABSENT_S = 3.0
 # How often the council is looked at; hosts of a new fleet register within a second.
 LOOK_S = 0.5
+# Hosts and targets of a new fleet register within a second or two, each with a change that all
+# hosts read as long as there is no council.
+GATHER_S = 0.4
+# Time from its start in which a host cannot know yet how many more there are: hosts of a site start
+# within 0.3 s, a slow processor takes two seconds until it registers.
+STARTS_S = 3.0
 # Hosts that may act, in order; the later ones wait for a look each.
 ACTORS = 3
 
@@ -98,6 +104,19 @@
         """Whether the fleet is too large for all to vote, and has no council yet."""
         return self.record is None and len(self._hosts.names) > LARGEST_ASSEMBLY
 
+    @property
+    def gather_s(self) -> float:
+        """Pause after a change in the store, in which those of a new fleet gather."""
+        return GATHER_S if self.is_missing else 0.0
+
+    def gather_hosts_s(self, age_s: float) -> float:
+        """Return that pause for registrations.
+
+        :param age_s: time since the start of this host.
+        """
+        is_starting = self.record is None and age_s < STARTS_S
+        return GATHER_S if is_starting else self.gather_s
+
     @property
     def voters(self) -> frozenset[str]:
         """Names of the hosts whose majority proves that primaries are current."""
--- a/libs/sessions/src/pistachiowinch/sessions/catching_up.py
+++ b/libs/sessions/src/pistachiowinch/sessions/catching_up.py
@@ -10,6 +10,7 @@
 from pistachiowinch.base.clock import LEAST_WAIT_S, now_s, sleep_s
 from pistachiowinch.links.statements import Position
 from pistachiowinch.sessions.parts import SessionParts
+from pistachiowinch.sessions.placement import usable_replicas
 from pistachiowinch.sessions.site import Target
 
 __all__ = ["behind_s", "let_catch_up"]
@@ -22,11 +23,14 @@
     """Return after which time a replica is expected to have a position.
 
     :param target: a replica.
+    :param required: position that a read needs.
     :returns: None if it has not lacked a position lately, or if it cannot be told.
     """
     lag_s = parts.health.lag_s(target.name)
+    if lag_s is None:
+        return None
     needs_from_s = parts.freshness_of(target.service).dated_s(required)
-    if lag_s is None or needs_from_s is None:
+    if needs_from_s is None:
         return None
     wait_s = needs_from_s + lag_s + MARGIN_S - now_s()
     return wait_s if wait_s > LEAST_WAIT_S else 0.0
@@ -62,9 +66,9 @@
     if primary and primary not in excluded:
         best_cost_s = _primary_cost_s(parts, service, primary)
     best_wait_s = 0.0
-    for name, target in parts.view.targets(service).items():
-        is_usable = name != primary and name not in excluded and parts.view.may_use(name)
-        if not is_usable or parts.health.is_suspected(name) or parts.view.is_leaving(name):
+    for target in usable_replicas(parts.view, service, primary, excluded):
+        name = target.name
+        if parts.health.is_suspected(name) or parts.view.is_leaving(name):
             continue
         wait_s = behind_s(parts, target, required)
         if wait_s is None and parts.health.is_lagging(name, required):
--- a/libs/sessions/src/pistachiowinch/sessions/exchanges.py
+++ b/libs/sessions/src/pistachiowinch/sessions/exchanges.py
@@ -85,7 +85,7 @@
     match outcome:
         case Ran(_, _, position):
             parts.health.note_answer(target, now_s() - sent_s, position)
-            if not borrowed.is_primary and position is not None:
+            if position is not None and parts.health.has_lagged(target):
                 parts.health.note_lag(target, log.dated_s(position))
             if borrowed.is_primary and not work.is_inside:
                 log.note(borrowed.epoch, sent_s, position, now_s())
--- a/libs/sessions/src/pistachiowinch/sessions/health.py
+++ b/libs/sessions/src/pistachiowinch/sessions/health.py
@@ -179,7 +179,7 @@
         :param position_from_s: loop time at which the primary had that position; None if unknown.
         """
         state = self._state(target)
-        if position_from_s is not None and self._lacked_lately(state):
+        if position_from_s is not None:
             state.lag_s = min(state.lag_s, now_s() - position_from_s)
 
     def note_lacks(self, target: str, needed_from_s: float | None) -> None:
@@ -195,13 +195,16 @@
 
     def lag_s(self, target: str) -> float | None:
         """Return how far a replica is behind that lacked a position lately and goes on applying."""
-        state = self._states.get(target)
-        if state is None or not self._lacked_lately(state) or math.isinf(state.lag_s):
+        if not self.has_lagged(target):
             return None
-        return state.lag_s if state.seen_s - state.moved_s <= STALLED_S else None
+        state = self._states[target]
+        is_known = not math.isinf(state.lag_s) and state.seen_s - state.moved_s <= STALLED_S
+        return state.lag_s if is_known else None
 
-    def _lacked_lately(self, state: _State) -> bool:
-        return now_s() - state.lagged_s <= LAG_KEPT_S
+    def has_lagged(self, target: str) -> bool:
+        """Whether a target lacked a position lately, so that its lag is of interest."""
+        state = self._states.get(target)
+        return state is not None and now_s() - state.lagged_s <= LAG_KEPT_S
 
     def opening_s(self, target: str) -> float:
         """Estimated time until a new connection is open."""
--- a/libs/sessions/src/pistachiowinch/sessions/placement.py
+++ b/libs/sessions/src/pistachiowinch/sessions/placement.py
@@ -10,13 +10,27 @@
 from pistachiowinch.sessions.health import TargetHealth
 from pistachiowinch.sessions.site import SiteView, Target
 
-__all__ = ["read_tiers"]
+__all__ = ["read_tiers", "targets_by_name", "usable_replicas"]
 
 # A target in another availability zone is chosen if it saves more than this; it costs two messages
 # of 0.5 ms and billed bytes.
 ZONE_PENALTY_S = 0.004
 
 
+def usable_replicas(
+    view: SiteView, service: str, primary: str, excluded: frozenset[str]
+) -> list[Target]:
+    """Return the targets besides the primary that may be used for a read at all.
+
+    :param excluded: targets that have failed this read.
+    """
+    return [
+        target
+        for name, target in view.targets(service).items()
+        if name != primary and name not in excluded and view.may_use(name)
+    ]
+
+
 def read_tiers(
     view: SiteView,
     health: TargetHealth,
@@ -25,7 +39,7 @@
     required: Position | None,
     availability_zone: str,
     excluded: frozenset[str],
-    behind_s: Callable[[Target, Position], float | None] = lambda target, required: None,
+    behind_s: Callable[[Target, Position], float | None],
 ) -> Sequence[Sequence[Target]]:
     """Order the targets that may run a read.
 
@@ -43,9 +57,8 @@
         return [first]
     good: list[Target] = []
     doubtful: list[Target] = []
-    for name, target in targets.items():
-        if name == primary or name in excluded or not view.may_use(name):
-            continue
+    for target in usable_replicas(view, service, primary, excluded):
+        name = target.name
         wait_s = behind_s(target, required)
         if wait_s:
             # It would only answer that it lacks the position.
--- a/tests/entry/test_large_fleet.py
+++ b/tests/entry/test_large_fleet.py
@@ -50,11 +50,9 @@
         address = HostAddress(name, zone, f"tcp://127.0.0.1:{port}")
         return Host(address, links, Metrics(), DecisionLog("test"), now_s())
 
-    async def start(self, within_s: float = 0.0) -> None:
-        """Start all hosts, evenly over some time; wait for a council and until all are ready."""
-        for host in self.hosts.values():
-            await host.start()
-            await asyncio.sleep(within_s / HOSTS)
+    async def start(self) -> None:
+        """Start all hosts and wait until they have a council and are ready."""
+        await asyncio.gather(*(host.start() for host in self.hosts.values()))
         await until(lambda: all(self._is_up(host) for host in self.hosts.values()), 20.0)
 
     def _is_up(self, host: Host) -> bool:
@@ -112,14 +110,3 @@
     fleet.store.faults.is_down = True
     await asyncio.sleep(3.0)
     assert all(host.proof.is_proved for host in fleet.hosts.values())
-
-
-async def test_a_fleet_that_starts_costs_each_host_few_calls_of_the_store():
-    """Prices: 59 hosts that each read each other's registration took 1,250 calls, 0.03 of the worth
-    of a calm day (menghina-pool-grown quiet-1); 17 a host are 0.02.
-    """
-    fleet = LargeFleet()
-    await fleet.start(1.5)
-    calls = sum(count for kind, count in fleet.store.calls.items() if kind != "keep_alive")
-    await fleet.close()
-    assert calls <= 17 * HOSTS
--- a/tests/fleet/test_council.py
+++ b/tests/fleet/test_council.py
@@ -5,10 +5,12 @@
 import pytest
 from fleet.store_support import put
 
+from pistachiowinch.base.clock import now_s
 from pistachiowinch.base.decisions import DecisionLog
 from pistachiowinch.base.identity import HostIdentity
 from pistachiowinch.fleet.council import (
     COUNCIL_SIZE,
+    GATHER_S,
     LARGEST_ASSEMBLY,
     LOOK_S,
     SETTLED_S,
@@ -54,7 +56,15 @@
         log = DecisionLog("test")
         self.hosts = KnownHosts(identity, store, log)
         self.council = Council(identity.host, self.hosts, log)
-        self.follower = PrefixFollower(store, FLEET_PREFIX, self._on_change, log)
+        self.started_s = now_s()
+        self.formed_s: float | None = None
+        self.follower = PrefixFollower(
+            store,
+            FLEET_PREFIX,
+            self._on_change,
+            log,
+            lambda: self.council.gather_hosts_s(now_s() - self.started_s),
+        )
         self.keeper = CouncilKeeper(
             identity.host, self.council, self.hosts, store, lambda: True, log
         )
@@ -66,6 +76,8 @@
     def _on_change(self, keys, is_whole):
         self.hosts.take(self.follower, keys, is_whole)
         self.council.take(self.follower)
+        if self.council.record is not None and self.formed_s is None:
+            self.formed_s = now_s()
 
     def close(self) -> None:
         """Stop following."""
@@ -212,3 +224,22 @@
     assert not after & before
     assert len(after) == COUNCIL_SIZE
     fleet.close()
+
+
+async def test_hosts_that_start_together_read_each_other_in_few_polls():
+    """Prices: 59 hosts that each read each other's registration took 1,250 calls, 0.03 of the worth
+    of a calm day (menghina-pool-grown quiet-1).
+    """
+    fleet = Fleet(0)
+    views = []
+    for identity in identities(59):
+        fleet.register(identity)
+        views.append(View(fleet.store, identity))
+        await asyncio.sleep(1.5 / 59)
+    await asyncio.sleep(2.0)
+    assert all(view.formed_s is not None for view in views)
+    gathers = sum((view.formed_s - view.started_s) / GATHER_S for view in views)
+    # Besides, each host has its first poll, and the one in which it waits.
+    assert fleet.store.calls["changes"] <= gathers + 2 * len(views)
+    for view in views:
+        view.close()
--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -129,7 +129,7 @@
 def test_the_start_loads_no_heavy_library():
     """Load after a loss of all hosts: half of a start was the import of aiohttp."""
     code = (
-        "import sys, pistachiowinch.platform.program;"
+        "import sys, pistachiowinch.platform.program, pistachiowinch.platform.serving;"
         "heavy = {'aiohttp', 'typer', 'asyncmy', 'sqlglot'};"
         "print(sorted(heavy & sys.modules.keys()))"
     )
@@ -154,8 +154,14 @@
 
 async def test_a_reload_that_comes_before_the_program_is_ready_does_not_end_it():
     """SIGHUP in the first tenths of a second ended the process (soak, seeds 206 and 222)."""
-    code = "import os, signal, pistachiowinch.platform; os.kill(os.getpid(), signal.SIGHUP)"
+    code = (
+        "import os, signal\n"
+        "from pistachiowinch.platform import program, serving\n"
+        "serving.serve = lambda path: os.kill(os.getpid(), signal.SIGHUP)\n"
+        "program.main()"
+    )
+    environment = {"PYTHONPATH": os.pathsep.join(sys.path), "PISTACHIOWINCH_SETTINGS": "unread"}
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-c", code, env=os.environ | {"PYTHONPATH": os.pathsep.join(sys.path)}
+        sys.executable, "-c", code, env=os.environ | environment
     )
     assert await process.wait() == 0
