Do not switch primaries for a minority in one zone, nor to a target that is as unreachable

Ruled out: the platform's promote (0.6 s each) and the lock; the log shows the same two targets in turn.

Change: a minority counts only if it spans availability zones and some candidate is suspected by fewer hosts than the primary; such candidates are preferred in every switch.

--- a/libs/entry/src/pistachiowinch/entry/group_views.py
+++ b/libs/entry/src/pistachiowinch/entry/group_views.py
@@ -1,7 +1,10 @@
 """Combined view of each service's primary, and the rank of this host among the voters."""
 
+from collections.abc import Callable, Iterable, Mapping
+
 from pistachiowinch.base.clock import now_s
 from pistachiowinch.base.hashing import rendezvous_order
+from pistachiowinch.base.identity import HostIdentity
 from pistachiowinch.fleet.primaries import PrimaryTable
 from pistachiowinch.fleet.primary_lease import PRIMARY_LEASE_S
 from pistachiowinch.fleet.supervision import ServiceView
@@ -26,6 +29,7 @@
     :param view: targets of the services.
     :param primaries: the primary of each service.
     :param health: health of the targets as this host observes it.
+    :param members: returns the fleet's members, which name their availability zones.
     """
 
     def __init__(
@@ -36,6 +40,7 @@
         view: SiteView,
         primaries: PrimaryTable,
         health: TargetHealth,
+        members: Callable[[], Iterable[HostIdentity]],
     ) -> None:
         """Create views from their sources."""
         self._host = host
@@ -44,6 +49,7 @@
         self._view = view
         self._primaries = primaries
         self._health = health
+        self._members = members
 
     def rank(self) -> int:
         """Return this host's rank among the reachable voters; rank 0 orders switches."""
@@ -55,7 +61,8 @@
     def all(self) -> list[ServiceView]:
         """Return the view of each service."""
         heartbeats = self._recent_heartbeats(PRIMARY_LEASE_S)
-        return [self._view_of(service, heartbeats) for service in self._view.services]
+        zones = {member.host: member.availability_zone for member in self._members()}
+        return [self._view_of(service, heartbeats, zones) for service in self._view.services]
 
     def _recent_heartbeats(self, max_age_s: float) -> list[Heartbeat]:
         oldest_s = now_s() - max_age_s
@@ -66,20 +73,37 @@
             if received is not None and received.received_s >= oldest_s
         ]
 
-    def _view_of(self, service: str, heartbeats: list[Heartbeat]) -> ServiceView:
+    def _suspecting_hosts(self, target: str, heartbeats: list[Heartbeat]) -> list[str]:
+        """Return the hosts, including this one, to which a target does not answer."""
+        hosts = [hb.host for hb in heartbeats if target in hb.suspected_targets]
+        return [*hosts, self._host] if self._health.is_suspected(target) else hosts
+
+    def _view_of(
+        self, service: str, heartbeats: list[Heartbeat], zones: Mapping[str, str]
+    ) -> ServiceView:
         primary = self._primaries.primary(service)
         targets = self._view.targets(service)
         record = self._primaries.records.get(service)
-        suspecting = sum(primary in heartbeat.suspected_targets for heartbeat in heartbeats)
+        suspecting = self._suspecting_hosts(primary, heartbeats)
+        candidates = tuple(
+            name for name in targets if name != primary and not self._view.is_leaving(name)
+        )
+        unreachable_from = max(len(suspecting), 1)
+        reporting = [*(heartbeat.host for heartbeat in heartbeats), self._host]
         return ServiceView(
             service=service,
             primary=primary,
             is_switching=record is not None and not record.primary,
             is_primary_registered=primary in targets,
             is_primary_leaving=self._view.is_leaving(primary),
-            candidates=tuple(
-                name for name in targets if name != primary and not self._view.is_leaving(name)
+            candidates=candidates,
+            suspecting_hosts=len(suspecting),
+            reporting_hosts=len(reporting),
+            suspecting_zones=len({zones.get(host) for host in suspecting}),
+            reporting_zones=len({zones.get(host) for host in reporting}),
+            unreachable_candidates=frozenset(
+                name
+                for name in candidates
+                if len(self._suspecting_hosts(name, heartbeats)) >= unreachable_from
             ),
-            suspecting_hosts=suspecting + self._health.is_suspected(primary),
-            reporting_hosts=len(heartbeats) + 1,
         )
--- a/libs/entry/src/pistachiowinch/entry/host.py
+++ b/libs/entry/src/pistachiowinch/entry/host.py
@@ -218,6 +218,7 @@
             self.view,
             self._primaries,
             self.session_context.health,
+            lambda: self._hosts.members,
         )
         self._supervisor = SwitchSupervisor(
             context,
--- a/libs/fleet/src/pistachiowinch/fleet/supervision.py
+++ b/libs/fleet/src/pistachiowinch/fleet/supervision.py
@@ -20,7 +20,7 @@
 # Some hosts still use the primary, so waiting is preferred for about as long as a switch would
 # interrupt them.
 MINORITY_SUSPICION_DELAY_S = 1.0
-# Must be exceeded, so that the loss of one of three availability zones causes no switch.
+# Must be exceeded, so that a few hosts with broken links cause no switch.
 MINORITY_FRACTION = 1.0 / 3.0
 # Usual duration of a switch; another host takes an unfinished one over only after this time.
 UNFINISHED_SWITCH_DELAY_S = 2.0
@@ -36,6 +36,9 @@
     :param candidates: targets that may become primary.
     :param suspecting_hosts: number of hosts, out of ``reporting_hosts``, to which the primary does
         not answer.
+    :param suspecting_zones: number of availability zones of those hosts, out of
+        ``reporting_zones``.
+    :param unreachable_candidates: candidates that at least as many hosts suspect as the primary.
     """
 
     service: str
@@ -46,6 +49,14 @@
     candidates: tuple[str, ...]
     suspecting_hosts: int
     reporting_hosts: int
+    suspecting_zones: int
+    reporting_zones: int
+    unreachable_candidates: frozenset[str] = frozenset()
+
+    @property
+    def reachable_candidates(self) -> tuple[str, ...]:
+        """Candidates that fewer hosts suspect than the primary."""
+        return tuple(name for name in self.candidates if name not in self.unreachable_candidates)
 
 
 class _Reason(NamedTuple):
@@ -68,11 +79,23 @@
         return _Reason("the primary is not registered", MAJORITY_SUSPICION_DELAY_S, False)
     if view.is_primary_leaving:
         return _Reason("the primary is leaving", 0.0, True)
-    if view.suspecting_hosts > MINORITY_FRACTION * view.reporting_hosts:
+    if _is_suspected_by_minority(view):
         return _Reason("some hosts get no answers", MINORITY_SUSPICION_DELAY_S, False)
     return None
 
 
+def _is_suspected_by_minority(view: ServiceView) -> bool:
+    """Return whether a switch would help the hosts that get no answers from the primary.
+
+    Load pattern: an availability zone is cut off, and its hosts, up to half of all, suspect every
+    target elsewhere. Another primary would be as unreachable for them, and each switch interrupts
+    the hosts of the other zones.
+    """
+    is_zone_cut = view.suspecting_zones == 1 < view.reporting_zones
+    is_enough = view.suspecting_hosts > MINORITY_FRACTION * view.reporting_hosts
+    return is_enough and not is_zone_cut and bool(view.reachable_candidates)
+
+
 class SwitchSupervisor:
     """Checks all services and starts switches, one at a time for each service.
 
@@ -130,9 +153,8 @@
         if now_s() - known[1] < wait_s or now_s() < self._next_attempt_s.get(service, -math.inf):
             return
         self._next_attempt_s[service] = now_s() + RANK_DELAY_S
-        request = SwitchRequest(
-            service, reason.text, reason.is_planned, view.primary, view.candidates
-        )
+        candidates = view.reachable_candidates or view.candidates
+        request = SwitchRequest(service, reason.text, reason.is_planned, view.primary, candidates)
         switch = PrimarySwitch(self._context, request)
         self._running[service] = asyncio.get_running_loop().create_task(switch.run())
 
--- a/tests/fleet/test_decisions.py
+++ b/tests/fleet/test_decisions.py
@@ -17,7 +17,7 @@
 
 pytestmark = pytest.mark.looptime
 
-VIEW = ServiceView("s", "a", False, True, False, ("b", "c"), 0, 9)
+VIEW = ServiceView("s", "a", False, True, False, ("b", "c"), 0, 9, 0, 3)
 
 
 @pytest.mark.parametrize(
@@ -78,8 +78,8 @@
 
 async def test_more_suspicion_shortens_the_delay_of_a_switch():
     """A primary that most hosts suspect is replaced sooner than one that some suspect."""
-    most = reason_to_switch(VIEW._replace(suspecting_hosts=5))
-    some = reason_to_switch(VIEW._replace(suspecting_hosts=4))
+    most = reason_to_switch(VIEW._replace(suspecting_hosts=5, suspecting_zones=2))
+    some = reason_to_switch(VIEW._replace(suspecting_hosts=4, suspecting_zones=2))
     unregistered = reason_to_switch(VIEW._replace(is_primary_registered=False))
     leaving = reason_to_switch(VIEW._replace(is_primary_leaving=True))
     assert most.delay_s < some.delay_s
@@ -87,6 +87,25 @@
     assert leaving.is_planned and leaving.delay_s == 0.0
 
 
+async def test_a_cut_zone_with_many_hosts_does_not_move_the_primaries_of_other_zones():
+    """zone_cut, 3 of 8 hosts: primaries changed every 0.7 s, and no zone was served for 4 s."""
+    cut = VIEW._replace(suspecting_hosts=3, reporting_hosts=8, suspecting_zones=1)
+    assert reason_to_switch(cut) is None
+    assert reason_to_switch(cut._replace(suspecting_zones=2)) is not None
+    assert reason_to_switch(cut._replace(suspecting_hosts=5, suspecting_zones=2)) is not None
+    only_zone = cut._replace(reporting_zones=1)
+    assert reason_to_switch(only_zone) is not None
+
+
+async def test_a_minority_gets_no_switch_to_targets_that_it_cannot_reach_either():
+    """A primary that moves back and forth between equally unreachable targets serves nobody."""
+    some = VIEW._replace(suspecting_hosts=4, suspecting_zones=2)
+    no_better = some._replace(unreachable_candidates=frozenset("bc"))
+    assert reason_to_switch(no_better) is None
+    assert reason_to_switch(no_better._replace(suspecting_hosts=5)) is not None
+    assert some._replace(unreachable_candidates=frozenset("b")).reachable_candidates == ("c",)
+
+
 async def test_without_a_candidate_a_working_primary_stays():
     """DRAIN: without a replica to promote, a switch would only interrupt the service."""
     assert reason_to_switch(VIEW._replace(is_primary_leaving=True, candidates=())) is None
