Continue interrupted switches at once

A power loss during a switch left the record 'in progress'; the return waited for UNFINISHED_SWITCH_DELAY_S (2 s), the dead holder's lease (3 s), a second attempt of each further service (0.5 s, two concurrent acquisitions of one lock) and 1.5 s for orders whose target nobody knew.

Change: a restarted holder replaces the lock of its previous run, whose end its own start proves; a switch without a running promoter is taken over after 0.1 s; services share the lock in turn; each order is recorded before it is sent, so that a successor repeats the same order, or keeps the old primary if there was none. Records of older builds have no such field and are waited for as before. test_a_switch_that_has_begun_stops_work_for_the_primary now names the promoter that holds the lock, as the store does during a switch; its assertions are unchanged.

Measured: tests of the interrupted switch (at once, repeated, silent target, short log).

--- a/libs/entry/src/pistachiowinch/entry/group_views.py
+++ b/libs/entry/src/pistachiowinch/entry/group_views.py
@@ -30,6 +30,7 @@
     :param primaries: the primary of each service.
     :param health: health of the targets as this host observes it.
     :param members: returns the fleet's members, which name their availability zones.
+    :param has_promoter: returns whether a running host holds the promotion lock.
     """
 
     def __init__(
@@ -41,6 +42,7 @@
         primaries: PrimaryTable,
         health: TargetHealth,
         members: Callable[[], Iterable[HostIdentity]],
+        has_promoter: Callable[[], bool],
     ) -> None:
         """Create views from their sources."""
         self._host = host
@@ -50,6 +52,7 @@
         self._primaries = primaries
         self._health = health
         self._members = members
+        self._has_promoter = has_promoter
 
     def rank(self) -> int:
         """Return this host's rank among the reachable voters; rank 0 orders switches."""
@@ -107,6 +110,7 @@
             service=service,
             primary=primary,
             is_switching=record is not None and not record.primary,
+            is_switch_orphaned=not self._has_promoter(),
             is_primary_registered=primary in targets,
             is_primary_leaving=self._view.is_leaving(primary),
             candidates=candidates,
--- a/libs/entry/src/pistachiowinch/entry/host.py
+++ b/libs/entry/src/pistachiowinch/entry/host.py
@@ -16,12 +16,14 @@
 from pistachiowinch.fleet.messages import DrainAnswer, DrainRequest, PrimaryNotice
 from pistachiowinch.fleet.primaries import PrimaryTable
 from pistachiowinch.fleet.primary_lease import PRIMARY_LEASE_S, PrimaryLease
-from pistachiowinch.fleet.promotion_lock import PromotionLock
+from pistachiowinch.fleet.promotion_lock import PromotionLock, is_ended_run
 from pistachiowinch.fleet.records import (
     FLEET_PREFIX,
     GROUPS_PREFIX,
+    PROMOTION_LOCK_KEY,
     HostRecord,
     PrimaryRecord,
+    PromotionLockRecord,
     decode_record,
 )
 from pistachiowinch.fleet.registration import (
@@ -235,6 +237,7 @@
             self._primaries,
             self.session_context.health,
             lambda: self._hosts.members,
+            self._has_promoter,
         )
         self._supervisor = SwitchSupervisor(
             context,
@@ -426,6 +429,13 @@
             return []
         return self._group_views.all()
 
+    def _has_promoter(self) -> bool:
+        """Whether the promotion lock is held, and not by an ended run of this host."""
+        item = self._fleet_follower.items.get(PROMOTION_LOCK_KEY)
+        record = None if item is None else decode_record(item, PromotionLockRecord)
+        identity = self._identity
+        return record is not None and not is_ended_run(record, identity.host, identity.incarnation)
+
     def _log_lease_change(self) -> None:
         """Log when this host gains or loses its primary lease."""
         has_lease = self.primary_lease.is_valid
--- a/libs/fleet/src/pistachiowinch/fleet/promotion_lock.py
+++ b/libs/fleet/src/pistachiowinch/fleet/promotion_lock.py
@@ -1,5 +1,6 @@
 """Distributed lock for ordering promotions, held under a lease with a fencing token."""
 
+import asyncio
 import math
 
 from pistachiowinch.base.clock import now_s
@@ -21,7 +22,7 @@
     StoreError,
 )
 
-__all__ = ["LOCK_LEASE_S", "PromotionLock"]
+__all__ = ["LOCK_LEASE_S", "PromotionLock", "is_ended_run", "try_acquire_lock"]
 
 # After this time another host can replace a dead holder. The store's shortest lease is 1 s, and a
 # switch takes about 2 s.
@@ -48,6 +49,7 @@
         self._lease = NO_LEASE
         self._valid_until_s = -math.inf
         self._revision = 0
+        self._acquiring = asyncio.Lock()
         self.fencing_token = 0
 
     @property
@@ -63,14 +65,20 @@
     async def acquire(self) -> bool:
         """Acquire the lock, or renew it if this host still holds it.
 
+        Switches of several services share the lock; concurrent calls are served in turn.
+
         :returns: whether this host holds the lock now.
         :raises StoreError: if the store did not answer; the lock may have been acquired.
         """
+        async with self._acquiring:
+            return await self._acquire()
+
+    async def _acquire(self) -> bool:
         if self._lease != NO_LEASE and await self._renew():
             return True
         sent_s = now_s()
         current = await self._store.get(PROMOTION_LOCK_KEY)
-        if current is not None:
+        if current is not None and not self._is_of_previous_run(current):
             return self._log_if_own(current)
         token_item = await self._store.get(FENCING_TOKEN_KEY)
         fencing_token = self._next_fencing_token(token_item)
@@ -78,7 +86,7 @@
         lease = await self._store.grant_lease(LOCK_LEASE_S)
         reply = await self._store.transact(
             [
-                Compare(PROMOTION_LOCK_KEY, 0),
+                Compare(PROMOTION_LOCK_KEY, current.mod_revision if current is not None else 0),
                 Compare(
                     FENCING_TOKEN_KEY, token_item.mod_revision if token_item is not None else 0
                 ),
@@ -121,6 +129,11 @@
         self._valid_until_s = -math.inf
         return False
 
+    def _is_of_previous_run(self, current: KeyValue) -> bool:
+        """Return whether the lock is held by a previous run of this host, which has ended."""
+        record = decode_record(current, PromotionLockRecord)
+        return record is not None and is_ended_run(record, self._host, self._run)
+
     def _log_if_own(self, current: KeyValue) -> bool:
         """Log a lock record of this run whose acknowledgement was lost, which has to expire.
 
@@ -132,6 +145,14 @@
         return False
 
 
+def is_ended_run(record: PromotionLockRecord, host: str, run: int) -> bool:
+    """Return whether a lock's holder is an earlier run of a host.
+
+    :param run: the host's current run; its start proves that every other one has ended.
+    """
+    return record.holder == host and record.run != run
+
+
 async def try_acquire_lock(lock: PromotionLock, log: DecisionLog) -> bool:
     """Acquire or renew the lock; return false if the store is unavailable."""
     try:
--- a/libs/fleet/src/pistachiowinch/fleet/records.py
+++ b/libs/fleet/src/pistachiowinch/fleet/records.py
@@ -54,10 +54,13 @@
 
     :param epoch: number of the latest switch of the primary; grows by one with each.
     :param primary: the target's name; empty while a switch is in progress.
+    :param ordered: target that the switch in progress ordered to be promoted last; empty if it has
+        ordered none, None if unknown.
     """
 
     epoch: int
     primary: str
+    ordered: str | None = None
 
 
 class VoterSetRecord(msgspec.Struct, frozen=True):
--- a/libs/fleet/src/pistachiowinch/fleet/supervision.py
+++ b/libs/fleet/src/pistachiowinch/fleet/supervision.py
@@ -24,6 +24,8 @@
 MINORITY_FRACTION = 1.0 / 3.0
 # Usual duration of a switch; another host takes an unfinished one over only after this time.
 UNFINISHED_SWITCH_DELAY_S = 2.0
+# An unfinished switch whose host holds the promotion lock no longer is taken over after this time.
+ORPHANED_SWITCH_DELAY_S = 0.1
 # Each host waits this much longer than the one ranked before it, to notice if that one has started
 # the switch.
 RANK_DELAY_S = 0.5
@@ -39,6 +41,7 @@
     :param suspecting_zones: number of availability zones of those hosts, out of
         ``reporting_zones``.
     :param unreachable_candidates: candidates that at least as many hosts suspect as the primary.
+    :param is_switch_orphaned: whether no running host holds the promotion lock.
     """
 
     service: str
@@ -52,6 +55,7 @@
     suspecting_zones: int
     reporting_zones: int
     unreachable_candidates: frozenset[str] = frozenset()
+    is_switch_orphaned: bool = False
 
     @property
     def reachable_candidates(self) -> tuple[str, ...]:
@@ -73,7 +77,9 @@
 def reason_to_switch(view: ServiceView) -> _Reason | None:
     """Return why a primary has to be replaced and for how long the reason must last, or None."""
     if view.is_switching:
-        return _Reason("a switch was left unfinished", UNFINISHED_SWITCH_DELAY_S, False)
+        is_orphaned = view.is_switch_orphaned
+        delay_s = ORPHANED_SWITCH_DELAY_S if is_orphaned else UNFINISHED_SWITCH_DELAY_S
+        return _Reason("a switch was left unfinished", delay_s, False)
     if not view.candidates:
         return None
     if not view.primary:
--- a/libs/fleet/src/pistachiowinch/fleet/switching.py
+++ b/libs/fleet/src/pistachiowinch/fleet/switching.py
@@ -138,6 +138,8 @@
         self._context = context
         self._request = request
         self._epoch = 0
+        self._revision = 0
+        self._ordered: str | None = ""
         self._started_s = now_s()
         self._states: dict[str, TargetState] = {}
 
@@ -148,8 +150,7 @@
         """
         if not await try_acquire_lock(self._context.promotion_lock, self._context.log):
             return False
-        revision = await self._begin()
-        if revision is None:
+        if not await self._begin():
             return False
         self._log("switch_begun", reason=self._request.reason, old=self._request.old_primary)
         if not await self._drain_all_hosts():
@@ -159,21 +160,23 @@
         if primary is None:
             self._log("switch_given_up", cause="no target took over")
             return False
-        await self._publish(primary, revision)
+        await self._publish(primary)
         await self._demote_old(primary)
         return True
 
-    async def _begin(self) -> int | None:
+    async def _begin(self) -> bool:
         """Record the start of the switch in the store.
 
-        :returns: the record's revision, or None if it was not written.
+        :returns: whether the record was written.
         """
         service = self._request.service
         key = group_key(service)
         try:
             current = await self._context.store.get(key)
-            self._epoch = max(self._recorded_epoch(current), self._context.table.epoch(service)) + 1
-            record = PrimaryRecord(self._epoch, "")
+            recorded = self._decode_recorded(current)
+            self._epoch = max(recorded.epoch, self._context.table.epoch(service)) + 1
+            self._ordered = recorded.ordered if self._is_continued else ""
+            record = PrimaryRecord(self._epoch, "", self._ordered)
             reply = await self._context.store.transact(
                 [
                     self._context.promotion_lock.condition,
@@ -183,21 +186,27 @@
             )
         except StoreError as error:
             self._log("switch_not_begun", cause=str(error)[:80])
-            return None
+            return False
         if not reply.succeeded:
             self._log("switch_not_begun", cause="another host changed the record")
-            return None
+            return False
+        self._revision = reply.revision
         self._context.table.adopt(service, record, "own switch")
-        return reply.revision
+        return True
+
+    @property
+    def _is_continued(self) -> bool:
+        """Whether an earlier switch of the service was left unfinished."""
+        return not self._request.old_primary
 
-    def _recorded_epoch(self, item: KeyValue | None) -> int:
+    def _decode_recorded(self, item: KeyValue | None) -> PrimaryRecord:
         if item is None:
-            return 0
+            return PrimaryRecord(0, "")
         record = decode_record(item, PrimaryRecord)
         if record is None:
             self._log("record_unreadable", key=item.key, revision=item.mod_revision)
-            return 0
-        return record.epoch
+            return PrimaryRecord(0, "")
+        return record
 
     async def _drain_all_hosts(self) -> bool:
         """Wait until no host can use the old primary."""
@@ -249,15 +258,16 @@
 
     async def _promote_best(self) -> str | None:
         failed: set[str] = set()
-        if not self._request.old_primary:
-            # Another host began this switch; wait until its orders have taken effect.
-            await sleep_s(max(self._started_s + ORDER_EFFECT_S - now_s(), 0.0))
         while now_s() - self._started_s < SWITCH_TIMEOUT_S:
             await self._read_states(failed)
+            if self._may_earlier_order_take_effect(failed):
+                await sleep_s(POLL_INTERVAL_S)
+                continue
+            ordered = self._resumable_target(failed)
             promoted = self._promoted_target()
-            if promoted is not None:
+            if promoted is not None and ordered in (None, promoted):
                 return promoted
-            target = self._best_candidate(failed)
+            target = ordered or self._best_candidate(failed)
             if target is None and self._is_old_still_primary():
                 return self._request.old_primary
             if target is None:
@@ -268,11 +278,65 @@
                 await self._wait_caught_up(target)
             if not await try_acquire_lock(self._context.promotion_lock, self._context.log):
                 return None
+            if not await self._record_order(target):
+                return None
             if await self._order_promotion(target) and await self._wait_until_primary(target):
                 return target
             failed.add(target)
         return None
 
+    def _resumable_target(self, failed: set[str]) -> str | None:
+        """Return the target that an earlier switch ordered, if ordering it again is right.
+
+        A second order for the same target cannot contradict the first one, whose effect may still
+        be due. A target whose log is shorter than another's is not ordered again.
+        """
+        target = self._ordered if self._is_continued else None
+        best = self._best_candidate(failed)
+        if not target or best is None or target not in self._states or target in failed:
+            return None
+        is_longest = self._states[target].received == self._states[best].received
+        return target if is_longest or self._states[target].is_primary else None
+
+    def _may_earlier_order_take_effect(self, failed: set[str]) -> bool:
+        """Return whether an earlier switch's order may still promote a target unexpectedly."""
+        if not self._is_continued or now_s() - self._started_s >= ORDER_EFFECT_S:
+            return False
+        if self._ordered is None:
+            return True
+        is_open = bool(self._ordered) and self._ordered not in failed
+        return is_open and self._resumable_target(failed) is None
+
+    async def _record_order(self, target: str) -> bool:
+        """Record which target is about to be ordered, for the host that continues this switch."""
+        if self._ordered == target:
+            return True
+        lock = self._context.promotion_lock
+        key = group_key(self._request.service)
+        record = PrimaryRecord(self._epoch, "", target)
+        while lock.is_held:
+            try:
+                reply = await self._context.store.transact(
+                    [lock.condition, Compare(key, self._revision)],
+                    [Put(key, encode_record(record))],
+                )
+                if reply.succeeded:
+                    self._revision, self._ordered = reply.revision, target
+                    return True
+                # The answer to an earlier attempt may have been lost.
+                current = await self._context.store.get(key)
+            except StoreError as error:
+                self._log("order_not_recorded", target=target, cause=str(error)[:80])
+                await sleep_s(POLL_INTERVAL_S)
+                continue
+            if current is None or decode_record(current, PrimaryRecord) != record:
+                self._log("order_not_recorded", target=target, cause="the record has changed")
+                return False
+            self._revision, self._ordered = current.mod_revision, target
+            return True
+        self._log("order_withheld", target=target, fence=lock.fencing_token)
+        return False
+
     async def _read_states(self, failed: set[str]) -> None:
         """Query all candidates, and the old primary if it works or a promotion failed."""
         names = set(self._request.candidates)
@@ -346,7 +410,7 @@
             await sleep_s(POLL_INTERVAL_S)
         return False
 
-    async def _publish(self, primary: str, revision: int) -> None:
+    async def _publish(self, primary: str) -> None:
         service = self._request.service
         record = PrimaryRecord(self._epoch, primary)
         self._context.table.adopt(service, record, "own switch")
@@ -355,15 +419,15 @@
         notice = PrimaryNotice(service, self._epoch, primary)
         for host in self._context.members() - {self._context.host}:
             await self._context.link.send(host, notice)
-        await self._record_outcome(record, revision)
+        await self._record_outcome(record)
 
-    async def _record_outcome(self, record: PrimaryRecord, revision: int) -> None:
+    async def _record_outcome(self, record: PrimaryRecord) -> None:
         """Write the outcome to the store, and retry while the store is unavailable."""
         key = group_key(self._request.service)
         while True:
             try:
                 reply = await self._context.store.transact(
-                    [Compare(key, revision)], [Put(key, encode_record(record))]
+                    [Compare(key, self._revision)], [Put(key, encode_record(record))]
                 )
             except StoreError as error:
                 self._log("outcome_not_recorded", cause=str(error)[:80])
--- a/tests/entry/test_host.py
+++ b/tests/entry/test_host.py
@@ -12,7 +12,13 @@
 from pistachiowinch.base.metrics import Metrics
 from pistachiowinch.entry.host import Host
 from pistachiowinch.entry.links import EntryLinks, HostAddress
-from pistachiowinch.fleet.records import PrimaryRecord, encode_record, group_key
+from pistachiowinch.fleet.records import (
+    PROMOTION_LOCK_KEY,
+    PrimaryRecord,
+    PromotionLockRecord,
+    encode_record,
+    group_key,
+)
 from pistachiowinch.links.statements import Read
 from pistachiowinch.platform.documents import PlatformDocuments
 from pistachiowinch.sessions.replies import CompletedStatement
@@ -142,6 +148,8 @@
 
 async def test_a_switch_that_has_begun_stops_work_for_the_primary(site):
     """ONE: the record of the switch alone must stop statements to the old primary."""
+    # Without a promoter that holds the lock, this host would continue the switch itself.
+    put(site.store, PROMOTION_LOCK_KEY, encode_record(PromotionLockRecord("other", 1, 1)))
     put(site.store, group_key("svc"), encode_record(PrimaryRecord(1, "")))
     await asyncio.sleep(0.1)
     runs = len(site.targets["a"].runs)
--- a/tests/fleet/test_decisions.py
+++ b/tests/fleet/test_decisions.py
@@ -123,3 +123,10 @@
     unregistered = reason_to_switch(VIEW._replace(is_primary_registered=False))
     assert most.continues(some) and some.continues(most)
     assert not unregistered.continues(some)
+
+
+async def test_a_switch_whose_promoter_is_gone_is_taken_over_soon():
+    """power_off_all: a switch that the loss interrupted was taken up 2.3 s after the return."""
+    running = reason_to_switch(VIEW._replace(primary="", is_switching=True))
+    orphaned = VIEW._replace(primary="", is_switching=True, is_switch_orphaned=True)
+    assert reason_to_switch(orphaned).delay_s < 0.2 < running.delay_s
--- a/tests/fleet/test_promotion_lock.py
+++ b/tests/fleet/test_promotion_lock.py
@@ -102,3 +102,21 @@
     second = lock_of(store, "b")
     assert await second.acquire()
     assert second.fencing_token > first.fencing_token
+
+
+async def test_a_restarted_holder_replaces_the_lock_of_its_previous_run():
+    """power_off_all: the dead promoter's lease kept three switches waiting for 2 s."""
+    store, log = MemoryStore(), DecisionLog("test")
+    before, after = PromotionLock(store, "a", 1, log), PromotionLock(store, "a", 2, log)
+    assert await before.acquire()
+    assert not await PromotionLock(store, "b", 3, log).acquire()
+    assert await after.acquire()
+    assert after.fencing_token == before.fencing_token + 1
+    assert not await PromotionLock(store, "b", 3, log).acquire()
+
+
+async def test_switches_of_several_services_share_the_lock():
+    """The second of two simultaneous switches of one host waited 0.5 s for its next attempt."""
+    lock = lock_of(MemoryStore(), "a")
+    assert await asyncio.gather(lock.acquire(), lock.acquire()) == [True, True]
+    assert lock.fencing_token == 1
--- a/tests/fleet/test_switching.py
+++ b/tests/fleet/test_switching.py
@@ -22,6 +22,7 @@
 )
 from pistachiowinch.links.peers import PeerUnreachable
 from pistachiowinch.links.statements import Position, TargetState
+from pistachiowinch.links.store import StoreReplyLost
 from pistachiowinch.standins.memory_store import MemoryStore
 
 pytestmark = pytest.mark.looptime
@@ -275,3 +276,95 @@
     world.group.promote = promote_then_lose
     assert await PrimarySwitch(world.context, CRASH_REQUEST).run()
     assert world.recorded() == PrimaryRecord(1, "c")
+
+
+CONTINUED_REQUEST = SwitchRequest("s", "unfinished", False, "", ("a", "b", "c"))
+
+
+def interrupted(ordered: str) -> World:
+    """Return a world whose promoter died during a switch; the old primary still works."""
+    world = World()
+    record = PrimaryRecord(1, "", ordered)
+    world.table.adopt("s", record, "store")
+    put(world.store, group_key("s"), encode_record(record))
+    world.group.states["a"] = TargetState(True, 1, Position(1, 9))
+    return world
+
+
+async def test_an_interrupted_switch_without_an_order_ends_at_once():
+    """power_off_all: three services had no primary for 4 s, though nothing had been ordered."""
+    world = interrupted("")
+    assert await PrimarySwitch(world.context, CONTINUED_REQUEST).run()
+    assert world.recorded() == PrimaryRecord(2, "a")
+    assert not world.group.promotions
+    assert now_s() < 0.2
+
+
+async def test_an_interrupted_order_is_repeated_instead_of_keeping_the_old_primary():
+    """ONE: the first order may still be carried out, after which the old primary must not serve."""
+    world = interrupted("c")
+    assert await PrimarySwitch(world.context, CONTINUED_REQUEST).run()
+    assert [order[0] for order in world.group.promotions] == ["c"]
+    assert world.group.promotions[0][2] < 0.2
+    assert world.recorded() == PrimaryRecord(2, "c")
+
+
+async def test_an_interrupted_order_to_a_silent_target_is_given_time_to_take_effect():
+    """ONE: a target that does not answer may be promoted by the order that it was named in."""
+    world = interrupted("c")
+    del world.group.states["c"]
+    assert await PrimarySwitch(world.context, CONTINUED_REQUEST).run()
+    assert now_s() >= ORDER_EFFECT_S
+    assert world.recorded().primary == "a"
+
+
+async def test_an_interrupted_order_to_a_short_log_is_not_repeated():
+    """LOST: entries of a longer log must not be given up because of an order that had no effect."""
+    world = interrupted("b")
+    del world.group.states["a"]
+    assert await PrimarySwitch(world.context, CONTINUED_REQUEST).run()
+    assert [order[0] for order in world.group.promotions] == ["c"]
+    assert world.group.promotions[0][2] >= ORDER_EFFECT_S
+
+
+async def test_an_order_is_recorded_before_it_is_sent():
+    """ONE: a host that continues the switch relies on the record of the last order."""
+    world = World()
+    recorded = []
+    promote = world.group.promote
+
+    async def record_then_promote(*order):
+        recorded.append(world.recorded())
+        return await promote(*order)
+
+    world.group.promote = record_then_promote
+    assert await PrimarySwitch(world.context, CRASH_REQUEST).run()
+    assert recorded == [PrimaryRecord(1, "", "c")]
+
+
+async def test_a_lost_answer_to_the_record_of_an_order_does_not_end_the_switch():
+    """platform_lost: the order may be sent once the record is known to be written."""
+    world = World()
+    transact = world.store.transact
+    calls = []
+
+    async def lose_second_answer(compares, operations):
+        reply = await transact(compares, operations)
+        calls.append(operations)
+        if len(calls) == 3:
+            raise StoreReplyLost("lost")
+        return reply
+
+    world.store.transact = lose_second_answer
+    assert await PrimarySwitch(world.context, CRASH_REQUEST).run()
+    assert world.recorded() == PrimaryRecord(1, "c")
+
+
+async def test_no_order_is_sent_that_cannot_be_recorded():
+    """ONE: a successor that finds no order in the record keeps the old primary at once."""
+    world = World()
+    loop = asyncio.get_running_loop()
+    world.hosts.busy_until_s["q"] = 0.5
+    loop.call_later(0.3, setattr, world.store.faults, "is_down", True)
+    assert not await PrimarySwitch(world.context, CRASH_REQUEST).run()
+    assert not world.group.promotions
