Refuse at once once a switch is overdue, and never for a configuration that is not there yet

Hosts of the cut zone held 113 statements for 0.8 s of their 1 s and said that no connection became free, though every target was known to be unreachable. After the power loss hosts that had not read the configuration told 45 callers NODB, which ends their tries.

Change: an outage that has lasted longer than a usual switch (2 s) and than the request can wait refuses with NO_PRIMARY or TARGET_UNREACHABLE and an advised delay. A host that has been unable to use most primaries for that long leaves the rotation and lets its idle callers reconnect once. A session that opens before the first configuration waits for it for 0.3 s, then gets the new code NO_CONFIGURATION (not run).

--- a/libs/base/src/pistachiowinch/base/codes.py
+++ b/libs/base/src/pistachiowinch/base/codes.py
@@ -118,6 +118,7 @@
 HOST_STOPPING = _code(4001, "HOST_STOPPING", _NO, 1053, "08S01", "Reconnect.")
 HOST_ISOLATED = _code(4002, "HOST_ISOLATED", _NO, 1053, "08S01", "Reconnect.")
 ZONE_OUT = _code(4003, "ZONE_OUT", _NO, 1053, "08S01", "Reconnect.")
+NO_CONFIGURATION = _code(4004, "NO_CONFIGURATION", _NO, 1053, "08S01", "Reconnect.")
 
 STALE_BASE_VERSION = _code(
     5001, "STALE_BASE_VERSION", _NO, 1213, "40001", "Read the configuration and rebase the patch."
--- a/libs/entry/src/pistachiowinch/entry/callers.py
+++ b/libs/entry/src/pistachiowinch/entry/callers.py
@@ -1,6 +1,7 @@
 """Serve callers over any line protocol, with one task for each connection."""
 
 import asyncio
+import contextlib
 from dataclasses import dataclass
 from typing import NamedTuple, Protocol
 
@@ -29,6 +30,8 @@
 
 # Timeout of a caller's first message, equal to the users' own header timeout.
 FIRST_LINE_TIMEOUT_S = 3.0
+# A host that starts reads the configuration within 0.1 s, unless it is cut off from the store.
+CONFIGURATION_WAIT_S = 0.3
 # File descriptors of a host, less those for files, targets and other hosts; a session takes 8 KB.
 MAX_SESSIONS = 4000
 # Connections that wait to be accepted: several times the number that move to a host at once.
@@ -209,6 +212,9 @@
     async def _run_session(self, caller: _Caller) -> None:
         async with asyncio.timeout(FIRST_LINE_TIMEOUT_S):
             line = await self._read_line(caller)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(CONFIGURATION_WAIT_S):
+                await self._context.view.is_configured.wait()
         if not self._open_session(caller, line):
             return
         while True:
--- a/libs/entry/src/pistachiowinch/entry/daemon.py
+++ b/libs/entry/src/pistachiowinch/entry/daemon.py
@@ -1,6 +1,7 @@
 """Run one host's process: signal handling, idle transactions and graceful shutdown."""
 
 import asyncio
+import math
 import signal
 from collections.abc import Callable
 
@@ -68,7 +69,7 @@
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         await self._host.start()
         await self._callers.start(self._callers_address)
-        upkeep = loop.create_task(self._end_idle_transactions())
+        upkeep = loop.create_task(self._watch_sessions())
         await self._stopping.wait()
         await self._shut_down()
         upkeep.cancel()
@@ -78,10 +79,21 @@
         """Request a graceful shutdown."""
         self._stopping.set()
 
-    async def _end_idle_transactions(self) -> None:
+    async def _watch_sessions(self) -> None:
+        """End idle transactions, and let idle callers reconnect once this host is cut off."""
+        cut_off_s: float | None = None
         while True:
             await sleep_s(IDLE_CHECK_INTERVAL_S)
             self._callers.end_idle_transactions()
+            if not self._host.is_cut_off:
+                cut_off_s = None
+            elif cut_off_s is None:
+                cut_off_s = now_s()
+            elif cut_off_s <= now_s() - LEAVE_ROTATION_S:
+                # Once: callers that come back show that no other host takes them.
+                cut_off_s = math.inf
+                self._log.write("callers_sent_away", sessions=self._callers.count)
+                self._callers.close_idle()
 
     async def _shut_down(self) -> None:
         """Leave the load balancer's rotation, then close each session once it is idle."""
--- a/libs/entry/src/pistachiowinch/entry/host.py
+++ b/libs/entry/src/pistachiowinch/entry/host.py
@@ -93,6 +93,7 @@
         self._documents = links.documents
         self._started_s = started_s
         self._had_lease = False
+        self._was_cut_off = False
         self._tasks: list[asyncio.Task] = []
         run = random.SystemRandom().getrandbits(INCARNATION_BITS) | 1
         self._identity = HostIdentity(
@@ -257,9 +258,18 @@
         return (
             not self.session_context.is_stopping
             and self._is_configured
+            and not self.is_cut_off
             and self.primary_lease.is_valid
         )
 
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether this host has been unable to use most services' primaries for a while.
+
+        Its callers are served by hosts of other zones, if the load balancer sends them there.
+        """
+        return self.session_context.outages.is_cut_off
+
     async def start(self) -> None:
         """Start the tasks of all components."""
         await self._peer_link.start()
@@ -450,10 +460,18 @@
             members=len(self._hosts.names),
         )
 
+    def _update_outages(self) -> None:
+        """Check which services can be served, and log when this host becomes cut off or returns."""
+        self.session_context.update_outages()
+        if self.is_cut_off != self._was_cut_off:
+            self._was_cut_off = self.is_cut_off
+            self._log.write("cut_off" if self._was_cut_off else "cut_off_ended")
+
     async def _upkeep(self) -> None:
         while True:
             await sleep_s(UPKEEP_INTERVAL_S)
             self._log_lease_change()
+            self._update_outages()
             is_absent = self._hosts.has_absent and not self._fleet_follower.is_broken
             if is_absent and self._voter_set.is_voter and self._group_views.rank() == 0:
                 await self._hosts.remove_absent()
--- a/libs/sessions/src/pistachiowinch/sessions/borrowing.py
+++ b/libs/sessions/src/pistachiowinch/sessions/borrowing.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple
 
 from pistachiowinch.base.clock import now_s
-from pistachiowinch.base.codes import HOST_ISOLATED, NO_PRIMARY, Refusal
+from pistachiowinch.base.codes import HOST_ISOLATED, NO_PRIMARY, TARGET_UNREACHABLE, Refusal
 from pistachiowinch.links.statements import Position
 from pistachiowinch.sessions.catching_up import catch_up_time_s, wait_for_catch_up
 from pistachiowinch.sessions.connections import ConnectionRequest, PooledConnection
@@ -54,10 +54,10 @@
     :returns: a connection whose target may run the statement now, or the reason why there is none.
     """
     service = placement.operation.route.service
-    refusal = _immediate_refusal(context, placement)
+    wait_until_s = now_s() + (placement.deadline_s - now_s()) * WAIT_FRACTION
+    refusal = _immediate_refusal(context, placement, wait_until_s - now_s())
     if refusal is not None:
         return refusal
-    wait_until_s = now_s() + (placement.deadline_s - now_s()) * WAIT_FRACTION
     if not placement.must_be_primary:
         required = required_position(context, placement.operation)
         if required is not None:
@@ -98,7 +98,18 @@
     return max(observed.position, state.position)
 
 
-def _immediate_refusal(context: SessionContext, placement: Placement) -> Refusal | None:
+def _immediate_refusal(
+    context: SessionContext, placement: Placement, budget_s: float
+) -> Refusal | None:
+    service = placement.operation.route.service
+    must_be_primary = placement.must_be_primary
+    if context.outages.is_hopeless(service, must_be_primary, budget_s):
+        age_s = context.outages.age_s(service, must_be_primary)
+        if must_be_primary:
+            return _refuse(context, f"no primary can be used since {age_s:.1f} s")
+        context.metrics.refusals.labels(TARGET_UNREACHABLE.label).inc()
+        detail = f"no target can be reached since {age_s:.1f} s"
+        return Refusal(TARGET_UNREACHABLE, with_retry_after(detail))
     if context.has_lease():
         return None
     if not placement.must_be_primary and required_position(context, placement.operation):
--- a/libs/sessions/src/pistachiowinch/sessions/context.py
+++ b/libs/sessions/src/pistachiowinch/sessions/context.py
@@ -12,6 +12,7 @@
 from pistachiowinch.sessions.connections import ConnectionPools
 from pistachiowinch.sessions.freshness import FreshnessLog
 from pistachiowinch.sessions.health import TargetHealth
+from pistachiowinch.sessions.outages import ServiceOutages
 from pistachiowinch.sessions.primary_work import PrimaryWork
 from pistachiowinch.sessions.site import SiteView
 
@@ -60,6 +61,7 @@
     log: DecisionLog
     availability_zone: str
     is_stopping: bool = False
+    outages: ServiceOutages = field(default_factory=ServiceOutages)
     freshness: dict[str, FreshnessLog] = field(default_factory=dict)
 
     def freshness_of(self, service: str) -> FreshnessLog:
@@ -69,6 +71,19 @@
             found = self.freshness[service] = FreshnessLog()
         return found
 
+    def update_outages(self) -> None:
+        """Check which services this host can serve now."""
+        has_primary: dict[str, bool] = {}
+        has_target: dict[str, bool] = {}
+        for service in self.view.services:
+            primary = self.leased_primary(service)
+            has_primary[service] = bool(primary) and not self.health.is_suspected(primary)
+            has_target[service] = has_primary[service] or any(
+                self.view.may_use(name) and not self.health.is_suspected(name)
+                for name in self.view.targets(service)
+            )
+        self.outages.update(has_primary, has_target)
+
     def may_acknowledge(self, service: str, sent_epoch: int) -> bool:
         """Whether a commit may be acknowledged to the caller.
 
--- a/libs/sessions/src/pistachiowinch/sessions/session.py
+++ b/libs/sessions/src/pistachiowinch/sessions/session.py
@@ -9,6 +9,7 @@
     BAD_KEY,
     HOST_STOPPING,
     KEY_WITHDRAWN,
+    NO_CONFIGURATION,
     STATEMENT_NOT_SUPPORTED,
     STATEMENT_TOO_LARGE,
     TRANSACTION_ABORTED,
@@ -82,6 +83,8 @@
         :returns: the route and the customer, or the reason for refusal.
         """
         configuration = self._context.view.configuration
+        if configuration.version < 0:
+            return self._refuse(NO_CONFIGURATION, "this host has no configuration yet")
         route = configuration.routes.get(self._database)
         if route is None:
             return self._refuse(UNKNOWN_SERVICE, "no such database")
--- a/libs/sessions/src/pistachiowinch/sessions/site.py
+++ b/libs/sessions/src/pistachiowinch/sessions/site.py
@@ -1,5 +1,6 @@
 """A host's view of its site: routes, customers, services and targets."""
 
+import asyncio
 import enum
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
@@ -116,6 +117,7 @@
     """The current configuration and targets of this host.
 
     :param log: decision log of this component.
+    :ivar is_configured: set once there is a configuration.
     """
 
     def __init__(self, log: DecisionLog) -> None:
@@ -125,6 +127,7 @@
         self._evacuated: frozenset[str] = frozenset()
         self._leaving_since_s: dict[str, float] = {}
         self.configuration = EMPTY_CONFIGURATION
+        self.is_configured = asyncio.Event()
 
     def set_configuration(self, configuration: SiteConfiguration, source: str) -> bool:
         """Apply a configuration if it is newer than the current one.
@@ -135,6 +138,7 @@
         if configuration.version <= self.configuration.version:
             return False
         self.configuration = configuration
+        self.is_configured.set()
         self._log.write("configuration", version=configuration.version, source=source)
         return True
 
--- a/tests/entry/test_callers.py
+++ b/tests/entry/test_callers.py
@@ -9,6 +9,7 @@
 from pistachiowinch.base.decisions import DecisionLog
 from pistachiowinch.entry.callers import CallerServer
 from pistachiowinch.platform.callers import LineCallerCodec
+from pistachiowinch.sessions.site import EMPTY_CONFIGURATION, SiteConfiguration
 
 
 class Client:
@@ -173,3 +174,28 @@
     await asyncio.sleep(0.1)
     site.server.end_idle_transactions()
     assert (await client.ask("QUERY q3 COMMIT"))[0].startswith("ERROR ABORTED")
+
+
+def unconfigure(site: Site) -> SiteConfiguration:
+    """Return a site to the time before its first configuration, and return that one."""
+    configuration = site.world.view.configuration
+    site.world.view.configuration = EMPTY_CONFIGURATION
+    site.world.view.is_configured.clear()
+    return configuration
+
+
+async def test_a_session_that_opens_before_the_configuration_is_read_waits_for_it(site):
+    """A returning host told 45 callers that their database does not exist, which is final."""
+    configuration = unconfigure(site)
+    asyncio.get_running_loop().call_later(0.1, site.world.view.set_configuration, configuration, "")
+    client = await site.client()
+    assert (await client.ask("START primary key"))[-1].startswith("READY")
+
+
+async def test_without_a_configuration_a_session_is_refused_as_not_run(site):
+    """The caller must ask another host; NODB or NOAUTH would tell it to give up."""
+    unconfigure(site)
+    client = await site.client()
+    answer = await client.ask("START primary key")
+    assert answer[0].startswith("ERROR BUSY")
+    assert answer[-1] == "closed"
