--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -165,3 +165,24 @@
         sys.executable, "-c", code, env=os.environ | environment
     )
     assert await process.wait() == 0
+
+
+def test_garbage_collection_is_suspended_only_during_the_imports():
+    """A host that never collects would exceed its memory; collections cost a sixth of the start."""
+    code = (
+        "import gc\n"
+        "from pistachiowinch.platform import program, serving\n"
+        "states = []\n"
+        "serving.serve = lambda path: states.append((gc.isenabled(), gc.get_freeze_count() > 0))\n"
+        "program.main()\n"
+        "print(states)"
+    )
+    environment = {"PYTHONPATH": os.pathsep.join(sys.path), "PISTACHIOWINCH_SETTINGS": "unread"}
+    found = subprocess.run(
+        [sys.executable, "-c", code],
+        env=os.environ | environment,
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    assert found.stdout.strip() == "[(True, True)]"
