--- a/libs/entry/src/pistachiowinch/entry/host.py
+++ b/libs/entry/src/pistachiowinch/entry/host.py
@@ -403,8 +403,10 @@
         return DrainAnswer(await self._drain(request.service, request.grace_ms / 1000.0))
 
     def _host_lease_s(self) -> float:
-        is_recorded_voter = self._voter_set.record is not None and self._voter_set.is_voter
-        return HOST_LEASE_S if is_recorded_voter else NON_VOTER_LEASE_S
+        is_large_fleet = self._voter_set.record is not None
+        return (
+            NON_VOTER_LEASE_S if is_large_fleet and not self._voter_set.is_voter else HOST_LEASE_S
+        )
 
     def _on_succession(self) -> None:
         self._log.write("succession", age_s=round(now_s() - self._started_s, 3))
