Log when a host hears of a configuration that it lacks, how it gets it and after how long

Change: the lag is a class of its own (entry/configuration_lag.py) that logs configuration_announced, _caught_up and _overdue; relayed answers are logged if whole or slow, and those that know less. No decision changes.

--- a/libs/entry/src/pistachiowinch/entry/host.py
+++ b/libs/entry/src/pistachiowinch/entry/host.py
@@ -1,6 +1,7 @@
 """Assemble the components of one host."""
 
 import asyncio
+import math
 import random
 from collections.abc import Callable, Coroutine, Iterable
 
@@ -8,6 +9,7 @@
 from pistachiowinch.base.decisions import DecisionLog
 from pistachiowinch.base.identity import HostIdentity
 from pistachiowinch.base.metrics import Metrics
+from pistachiowinch.entry.configuration_lag import ConfigurationLag
 from pistachiowinch.entry.group_views import GroupViews
 from pistachiowinch.entry.links import EntryLinks, HostAddress
 from pistachiowinch.entry.registry import TargetRegistry
@@ -97,8 +99,7 @@
         self._started_s = started_s
         self._had_lease = False
         self._was_cut_off = False
-        self._newest_version = -1
-        self._behind_since_s: float | None = None
+        self._configuration_lag = ConfigurationLag(self._configuration_limit_s, log)
         self._tasks: list[asyncio.Task] = []
         run = random.SystemRandom().getrandbits(INCARNATION_BITS) | 1
         self._identity = HostIdentity(
@@ -350,11 +351,11 @@
 
         A key that the newer version withdraws must not be accepted any longer.
         """
+        return self._configuration_lag.is_overdue
+
+    def _configuration_limit_s(self) -> float:
         is_large_fleet = self._voter_set.record is not None
-        since_s = self._behind_since_s
-        return (
-            is_large_fleet and since_s is not None and (now_s() - since_s > MAX_CONFIGURATION_LAG_S)
-        )
+        return MAX_CONFIGURATION_LAG_S if is_large_fleet else math.inf
 
     @property
     def _is_configured(self) -> bool:
@@ -396,8 +397,7 @@
             return
         if self.view.set_configuration(configuration, "store"):
             self._metrics.config_version.set(configuration.version)
-            if configuration.version >= self._newest_version:
-                self._behind_since_s = None
+            self._configuration_lag.note_applied(configuration.version)
             self._rates.set_limits(configuration.rates)
             rates = {name: tuple(limit) for name, limit in configuration.rates.items()}
             self._log.write("rates", version=configuration.version, rates=rates)
@@ -411,17 +411,10 @@
         if self._voter_set.is_voter:
             for target in heartbeat.suspected_targets:
                 self.session_context.health.note_reported(target)
-        is_behind = heartbeat.config_version > self.view.configuration.version >= 0
-        if is_behind:
-            self._note_behind(heartbeat.config_version)
+        is_behind = self._configuration_lag.note_announced(heartbeat.config_version, heartbeat.host)
         if is_behind and self._reads_store() and self._operators_follower.refresh():
             self._log.write("configuration_behind", peer=heartbeat.host)
 
-    def _note_behind(self, version: int) -> None:
-        self._newest_version = max(self._newest_version, version)
-        if self._behind_since_s is None:
-            self._behind_since_s = now_s()
-
     def _on_notice(self, sender: str, notice: PrimaryNotice) -> None:
         record = PrimaryRecord(notice.epoch, notice.primary)
         self._primaries.adopt(notice.service, record, sender)
@@ -502,6 +495,7 @@
             await sleep_s(UPKEEP_INTERVAL_S)
             self._log_lease_change()
             self._update_outages()
+            self._configuration_lag.update()
             is_absent = self._hosts.has_absent and not self._fleet_follower.is_broken
             if is_absent and self._voter_set.is_voter and self._group_views.rank() == 0:
                 await self._hosts.remove_absent()
--- a/libs/fleet/src/pistachiowinch/fleet/following.py
+++ b/libs/fleet/src/pistachiowinch/fleet/following.py
@@ -120,7 +120,9 @@
                     raise
                 self._is_refreshing = False
             except HistoryLost as error:
-                self._log.write("history_lost", prefix=self._prefix, detail=str(error))
+                self._log.write(
+                    "history_lost", prefix=self._prefix, revision=self._revision, detail=str(error)
+                )
                 self._revision = None
             except StoreError:
                 self._mark_broken()
--- a/libs/fleet/src/pistachiowinch/fleet/relaying.py
+++ b/libs/fleet/src/pistachiowinch/fleet/relaying.py
@@ -33,6 +33,8 @@
 RELAY_WAIT_S = 1.0
 # A configuration of 1 MB takes 1.6 s on the users' slowest link of 5 Mbit/s.
 RELAY_TIMEOUT_S = 2.5
+# Slower answers are logged; one over an idle link takes a few milliseconds.
+SLOW_RELAY_S = 0.5
 # Time for which a host that starts waits for the first heartbeat of a voter before it polls the
 # store. After a common power loss voters return at the same moment, and send in each 0.2 s.
 FIRST_RELAY_WAIT_S = 0.6
@@ -235,10 +237,29 @@
         try:
             answer = await self._link.request(host, request, RELAY_TIMEOUT_S)
         except PeerUnreachable as error:
-            self._log.write("relay_unanswered", host=host, prefix=prefix)
+            self._log.write("relay_unanswered", host=host, prefix=prefix, own=after_revision)
             raise StoreUnavailable(str(error)) from error
         if answer.revision < after_revision or answer.revision < 0:
+            self._log.write(
+                "relay_behind",
+                host=host,
+                prefix=prefix,
+                revision=answer.revision,
+                own=after_revision,
+            )
             raise StoreUnavailable(f"{host} knows less than this host")
+        took_s = now_s() - sent_s
+        if answer.is_whole or took_s > SLOW_RELAY_S:
+            self._log.write(
+                "relayed",
+                host=host,
+                prefix=prefix,
+                is_whole=answer.is_whole,
+                revision=answer.revision,
+                own=after_revision,
+                keys=len(answer.keys),
+                took_s=round(took_s, 3),
+            )
         return answer, sent_s - answer.age_ms / 1000.0
 
 
