List relayed changes in the order of their revisions

Cause: a key that changed twice kept the place of its first change in a voter's answer, so the reader's list of changes ended with an older revision (3 instead of 4 in the test). When that reader became a voter it announced this revision: its peers asked it for nothing and dated copies without the newest change as complete. Change: the answer is sorted by revision. The new test failed before (3 != 4); tests of fleet pass.

--- a/libs/fleet/src/pistachiowinch/fleet/following.py
+++ b/libs/fleet/src/pistachiowinch/fleet/following.py
@@ -80,14 +80,16 @@
         return self._recent_changes[-1][0] if self._recent_changes else self._kept_after_revision
 
     def changes_after(self, revision: int) -> tuple[WatchEvent, ...] | None:
-        """Return the current state of all keys that changed after a revision.
+        """Return the current state of all keys that changed after a revision, oldest change first.
 
         :returns: None if those changes are no longer kept and the caller has to read all keys.
         """
         if revision < self._kept_after_revision or not self.is_loaded.is_set():
             return None
         newest = {key: changed for changed, key in self._recent_changes if changed > revision}
-        return tuple(self._event(key, changed) for key, changed in newest.items())
+        # A key that changed again stands where it changed first.
+        ordered = sorted(newest.items(), key=lambda entry: entry[1])
+        return tuple(self._event(key, changed) for key, changed in ordered)
 
     def _event(self, key: str, revision: int) -> WatchEvent:
         item = self.items.get(key)
--- a/tests/fleet/test_relaying.py
+++ b/tests/fleet/test_relaying.py
@@ -202,6 +202,22 @@
     pair.close()
 
 
+async def test_a_relayed_copy_announces_the_newest_change_that_it_has():
+    """STALE: a host that became a voter announced an older revision than its copy has, which proves
+    copies complete that lack the newest change.
+    """
+    pair = await settled_pair()
+    pair.sends_heartbeats = False
+    await asyncio.sleep(2 * HEARTBEAT_INTERVAL_S)
+    for key in ("op/config", "op/evacuate/z1", "op/config"):
+        pair.put(key, b"1")
+        await asyncio.sleep(0.05)
+    pair.sends_heartbeats = True
+    await asyncio.sleep(RELAY_WAIT_S + HEARTBEAT_INTERVAL_S)
+    assert pair.follower.last_change_revision == pair.voter.last_change_revision
+    pair.close()
+
+
 class SlowSource:
     """A source whose reads take as long as reads from the store."""
 
