Apply a whole copy that a voter sends instead of asking for it again

Change: ChangeBatch says whether it is whole, and the follower replaces its copy with it. Evidence: the new test counts requests, 2 ([1, -1]) before and 1 now; tests of fleet pass.

--- a/libs/fleet/src/pistachiowinch/fleet/following.py
+++ b/libs/fleet/src/pistachiowinch/fleet/following.py
@@ -144,8 +144,12 @@
         # The first poll after an outage does not wait, so that it soon confirms the contact.
         wait_s = 0.0 if self.is_broken else POLL_WAIT_S
         batch = await self._source.changes(self._prefix, self._revision, wait_s)
-        self._apply(batch.events)
-        self._revision = batch.revision
+        if batch.is_whole:
+            items = (KeyValue(e.key, e.value or b"", e.mod_revision) for e in batch.events)
+            self._replace(items, batch.revision)
+        else:
+            self._apply(batch.events)
+            self._revision = batch.revision
         if batch.as_of_s is not None:
             self._advance_as_of(batch.as_of_s)
         else:
@@ -155,13 +159,17 @@
 
     async def _read_all(self) -> float | None:
         snapshot = await self._source.read_prefix(self._prefix)
-        self.items = {item.key: item for item in snapshot.items}
-        self._revision = snapshot.revision
+        self._replace(snapshot.items, snapshot.revision)
+        return snapshot.as_of_s
+
+    def _replace(self, items: Iterable[KeyValue], revision: int) -> None:
+        """Replace the whole copy."""
+        self.items = {item.key: item for item in items}
+        self._revision = revision
         self._recent_changes.clear()
-        self._kept_after_revision = snapshot.revision
+        self._kept_after_revision = revision
         self.is_loaded.set()
         self._on_change(tuple(self.items), True)
-        return snapshot.as_of_s
 
     def _apply(self, events: Iterable[WatchEvent]) -> None:
         changed = []
--- a/libs/fleet/src/pistachiowinch/fleet/relaying.py
+++ b/libs/fleet/src/pistachiowinch/fleet/relaying.py
@@ -18,7 +18,6 @@
 from pistachiowinch.links.peers import PeerLink, PeerUnreachable
 from pistachiowinch.links.store import (
     ChangeBatch,
-    HistoryLost,
     KeyValue,
     PollingStore,
     Snapshot,
@@ -161,10 +160,8 @@
         if not newer:
             return ChangeBatch((), after_revision, _as_of_s(voters, prefix, after_revision))
         answer, as_of_s = await self._request_changes(newer, prefix, after_revision)
-        if answer.is_whole:
-            raise HistoryLost("the asked host does not tell these changes apart")
         events = (WatchEvent(key.key, key.value, key.revision) for key in answer.keys)
-        return ChangeBatch(tuple(events), answer.revision, as_of_s)
+        return ChangeBatch(tuple(events), answer.revision, as_of_s, answer.is_whole)
 
     async def _wait_for_first_relay(self) -> None:
         """Give the voters time to be heard, once after the start of this host."""
--- a/libs/links/src/pistachiowinch/links/store.py
+++ b/libs/links/src/pistachiowinch/links/store.py
@@ -157,11 +157,14 @@
     :param revision: revision after which the next call continues.
     :param as_of_s: loop time as of which the changes are complete; None if it follows from the time
         of the call and its ``wait_s``.
+    :param is_whole: whether ``events`` are all keys that exist, because the changes alone are no
+        longer known.
     """
 
     events: tuple[WatchEvent, ...]
     revision: int
     as_of_s: float | None = None
+    is_whole: bool = False
 
 
 class PrefixSource(Protocol):
--- a/tests/fleet/test_relaying.py
+++ b/tests/fleet/test_relaying.py
@@ -218,6 +218,20 @@
     pair.close()
 
 
+async def test_a_whole_copy_is_sent_once_to_a_host_that_is_far_behind():
+    """CONFIG: 54 hosts asked five voters twice for all keys when the history was lost."""
+    pair = await settled_pair()
+    asked_after = []
+    changes_after = pair.voter.changes_after
+    pair.voter.changes_after = lambda after: asked_after.append(after) or changes_after(after)
+    pair.put("op/config", b"1")
+    pair.voter.refresh()
+    await asyncio.sleep(RELAY_WAIT_S + HEARTBEAT_INTERVAL_S)
+    assert pair.follower.items["op/config"].value == b"1"
+    assert len(asked_after) == 1
+    pair.close()
+
+
 class SlowSource:
     """A source whose reads take as long as reads from the store."""
 
