Let revisions contain the store's era, so that they order changes across restorations

Cause: everything that compares revisions (relayed reads, proofs of complete copies, conditions of transactions, continued watches) takes them to grow, and a restored store hands them out again. The client threw away the header Store-Era, which tells the restorations.

Change: the client puts the era into the upper bits of each revision. Comparisons need no change: a voter that has read the restored store announces a greater revision, and hosts ask for a whole copy. A poll from a revision of an earlier era raises HistoryLost; a condition on one fails, or has an unknown outcome if the restoration was noticed only with the answer. The stand-ins have the restoration and the header.

--- a/libs/base/src/pistachiowinch/base/http.py
+++ b/libs/base/src/pistachiowinch/base/http.py
@@ -4,7 +4,8 @@
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
+from types import MappingProxyType
 from typing import NamedTuple
 
 import h11
@@ -22,10 +23,11 @@
 
 
 class HttpResponse(NamedTuple):
-    """Status and complete body of a response."""
+    """Status, complete body and headers of a response, whose names are in lower case."""
 
     status: int
     body: bytes
+    headers: Mapping[str, str] = MappingProxyType({})
 
 
 class HttpFailed(Exception):
@@ -64,6 +66,7 @@
         data += self.codec.send(h11.EndOfMessage()) or b""
         self.writer.write(data)
         status = 0
+        received: dict[str, str] = {}
         parts: list[bytes] = []
         while True:
             event = self.codec.next_event()
@@ -71,10 +74,11 @@
                 self.codec.receive_data(await self.reader.read(READ_BYTES))
             elif isinstance(event, h11.Response):
                 status = event.status_code
+                received = {k.decode("latin-1"): v.decode("latin-1") for k, v in event.headers}
             elif isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
-                return HttpResponse(status, b"".join(parts))
+                return HttpResponse(status, b"".join(parts), received)
             elif isinstance(event, h11.ConnectionClosed):
                 raise ConnectionResetError("closed before the answer")
 
--- a/libs/links/src/pistachiowinch/links/store.py
+++ b/libs/links/src/pistachiowinch/links/store.py
@@ -1,4 +1,9 @@
-"""Interface to the platform's key-value store, with the semantics of etcd v3."""
+"""Interface to the platform's key-value store, with the semantics of etcd v3.
+
+A store that was restored from an older copy hands out revisions again. Each restoration begins a
+new era, and the revisions of this interface contain the era in their upper bits, so they order all
+changes of a key across restorations. A condition on a revision of an earlier era never holds.
+"""
 
 from collections.abc import AsyncIterator, Sequence
 from typing import NamedTuple, Protocol
@@ -22,10 +27,35 @@
     "StoreUnavailable",
     "TxnReply",
     "WatchEvent",
+    "dated_revision",
+    "era_of",
+    "undated_revision",
 ]
 
 NO_LEASE = 0
 
+# A store that makes a million changes a second reaches this many revisions after 12 days.
+_REVISION_BITS = 40
+
+
+def dated_revision(era: int, revision: int) -> int:
+    """Return a revision of this interface.
+
+    :param era: number of the store's restorations.
+    :param revision: the store's own revision.
+    """
+    return era << _REVISION_BITS | revision
+
+
+def era_of(revision: int) -> int:
+    """Return the era of a revision of this interface."""
+    return revision >> _REVISION_BITS
+
+
+def undated_revision(revision: int) -> int:
+    """Return the store's own revision."""
+    return revision & ((1 << _REVISION_BITS) - 1)
+
 
 class StoreError(Exception):
     """Base class of the errors of store requests."""
@@ -40,7 +70,7 @@
 
 
 class HistoryLost(StoreUnavailable):
-    """Changes after the given revision are no longer kept; the caller has to read all keys."""
+    """Changes after the given revision are unknown; the caller has to read all keys."""
 
 
 class KeyValue(NamedTuple):
@@ -177,7 +207,8 @@
         """Wait for changes under a prefix.
 
         :param wait_s: time after which the call returns without changes.
-        :raises HistoryLost: if the history no longer reaches back to ``after_revision``.
+        :raises HistoryLost: if the history no longer reaches back to ``after_revision``, or that is
+            a revision of an earlier era.
         """
 
 
--- a/libs/standins/src/pistachiowinch/standins/http_store.py
+++ b/libs/standins/src/pistachiowinch/standins/http_store.py
@@ -18,6 +18,8 @@
     Put,
     StoreReplyLost,
     StoreUnavailable,
+    dated_revision,
+    undated_revision,
 )
 from pistachiowinch.standins.memory_store import MemoryStore, StoreFaults
 
@@ -63,9 +65,9 @@
         """Faults that affect only this client."""
         return self._client.faults
 
-    async def start(self, ip: str = "127.0.0.1") -> None:
-        """Listen on a free port of an address."""
-        app = web.Application(middlewares=[self._apply_faults])
+    async def start(self, ip: str = "127.0.0.1", port: int = 0) -> None:
+        """Listen on an address; port 0 selects a free one."""
+        app = web.Application(middlewares=[self._state_era, self._apply_faults])
         app.router.add_get(f"{_BASE}/kv-key", self._key)
         app.router.add_get(f"{_BASE}/kv-range", self._range)
         app.router.add_get(f"{_BASE}/kv-watch", self._watch)
@@ -75,7 +77,7 @@
         app.router.add_delete(f"{_BASE}/kv-lease-end/{{lease}}", self._end_lease)
         self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
         await self._runner.setup()
-        await web.TCPSite(self._runner, ip, 0).start()
+        await web.TCPSite(self._runner, ip, port).start()
         self.address = f"{ip}:{self._runner.addresses[0][1]}"
 
     async def stop(self) -> None:
@@ -83,6 +85,12 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
+    @web.middleware
+    async def _state_era(self, request: web.Request, handler: Callable) -> web.StreamResponse:
+        response = await handler(request)
+        response.headers["Store-Era"] = str(self._store.era)
+        return response
+
     @web.middleware
     async def _apply_faults(self, request: web.Request, handler: Callable) -> web.StreamResponse:
         if self.error_status:
@@ -106,7 +114,7 @@
         if found is None:
             return web.Response(status=404)
         fields = self._item(found.key, found.value, found.mod_revision, found.lease)
-        return web.json_response(fields | {"atRev": self._store.revision})
+        return web.json_response(fields | {"atRev": undated_revision(self._store.revision)})
 
     async def _range(self, request: web.Request) -> web.Response:
         snapshot = await self._client.read_prefix(request.query["prefix"])
@@ -117,26 +125,35 @@
             for item in items[:PAGE_ITEMS]
         ]
         has_more = len(items) > PAGE_ITEMS
-        return web.json_response({"items": page, "hasMore": has_more, "atRev": snapshot.revision})
+        at_revision = undated_revision(snapshot.revision)
+        return web.json_response({"items": page, "hasMore": has_more, "atRev": at_revision})
 
     async def _watch(self, request: web.Request) -> web.Response:
         query = request.query
-        batch = await self._client.changes(
-            query["prefix"], int(query["after"]), int(query["waitMs"]) / 1000.0
-        )
+        after = self._dated(int(query["after"]))
+        if after > self._store.revision:
+            return web.Response(status=410)
+        batch = await self._client.changes(query["prefix"], after, int(query["waitMs"]) / 1000.0)
         events = [
             (
-                {"key": event.key, "revision": event.mod_revision, "deleted": True}
+                {
+                    "key": event.key,
+                    "revision": undated_revision(event.mod_revision),
+                    "deleted": True,
+                }
                 if event.value is None
                 else self._item(event.key, event.value, event.mod_revision, 0)
             )
             for event in batch.events
         ]
-        return web.json_response({"events": events, "atRev": batch.revision})
+        return web.json_response({"events": events, "atRev": undated_revision(batch.revision)})
 
     async def _txn(self, request: web.Request) -> web.Response:
         body = msgspec.json.decode(await request.read())
-        compares = [Compare(row["key"], row["revision"]) for row in body["expected"]]
+        compares = [
+            Compare(row["key"], row["revision"] and self._dated(row["revision"]))
+            for row in body["expected"]
+        ]
         operations = [_put(row) for row in body["setKeys"]]
         operations += [Delete(key) for key in body["remove"]]
         try:
@@ -145,7 +162,7 @@
             return web.Response(status=404)
         if not reply.succeeded:
             return web.json_response({"items": []}, status=412)
-        return web.json_response({"revision": reply.revision})
+        return web.json_response({"revision": undated_revision(reply.revision)})
 
     async def _grant_lease(self, request: web.Request) -> web.Response:
         ttl_ms = msgspec.json.decode(await request.read())["ttlMs"]
@@ -164,7 +181,15 @@
 
     def _item(self, key: str, value: bytes, revision: int, lease: int) -> dict[str, Any]:
         text = base64.b64encode(self._translate(value)).decode()
-        return {"key": key, "value": text, "revision": revision, "leaseId": lease}
+        return {
+            "key": key,
+            "value": text,
+            "revision": undated_revision(revision),
+            "leaseId": lease,
+        }
+
+    def _dated(self, revision: int) -> int:
+        return dated_revision(self._store.era, revision)
 
 
 def _put(row: Mapping[str, Any]) -> Put:
--- a/libs/standins/src/pistachiowinch/standins/memory_store.py
+++ b/libs/standins/src/pistachiowinch/standins/memory_store.py
@@ -9,7 +9,7 @@
 import contextlib
 import math
 from collections import Counter
-from collections.abc import AsyncIterator, Callable, Sequence
+from collections.abc import AsyncIterator, Callable, Mapping, Sequence
 from typing import NamedTuple, TypeVar
 
 from pistachiowinch.base.clock import now_s, sleep_s
@@ -26,9 +26,12 @@
     StoreUnavailable,
     TxnReply,
     WatchEvent,
+    dated_revision,
+    era_of,
+    undated_revision,
 )
 
-__all__ = ["MemoryStore", "MemoryStoreClient", "StoreFaults"]
+__all__ = ["MemoryStore", "MemoryStoreClient", "StoreCopy", "StoreFaults"]
 
 MAX_VALUE_BYTES = 1_000_000
 # Events that a compaction keeps; a watch from an earlier revision has to read again.
@@ -105,6 +108,16 @@
     expires_s: float
 
 
+class StoreCopy(NamedTuple):
+    """Content of a store at one time."""
+
+    revision: int
+    compacted_revision: int
+    values: Mapping[str, KeyValue]
+    leases: Mapping[int, _Lease]
+    events: tuple[WatchEvent, ...]
+
+
 class MemoryStore:
     """The store's state, and a client that has no faults but those of the whole store."""
 
@@ -228,6 +241,45 @@
         self._compacted_revision = self.revision
         self._events.clear()
 
+    @property
+    def era(self) -> int:
+        """Number of restorations."""
+        return era_of(self.revision)
+
+    def copy(self) -> StoreCopy:
+        """Return a copy of the present content, for :meth:`restore`."""
+        return StoreCopy(
+            self.revision,
+            self._compacted_revision,
+            dict(self._values),
+            dict(self._leases),
+            tuple(self._events),
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Lose everything that was written after a copy, and begin a new era.
+
+        Revisions after that of the copy are handed out again; the leases of the copy run anew.
+        """
+        era = self.era + 1
+
+        def redated(revision: int) -> int:
+            return dated_revision(era, undated_revision(revision))
+
+        self.revision = redated(copy.revision)
+        self._compacted_revision = redated(copy.compacted_revision)
+        self._values = {
+            key: value._replace(mod_revision=redated(value.mod_revision))
+            for key, value in copy.values.items()
+        }
+        self._keys = sorted(self._values)
+        self._events = [e._replace(mod_revision=redated(e.mod_revision)) for e in copy.events]
+        self._leases = {}
+        for lease, held in copy.leases.items():
+            self._set_lease(lease, held.ttl_s)
+        for watch in list(self.faults._watches):
+            watch.notify()
+
     def events_since(self, prefix: str, revision: int) -> list[WatchEvent]:
         """Return the events under a prefix from a revision on.
 
--- a/tests/entry/test_large_fleet.py
+++ b/tests/entry/test_large_fleet.py
@@ -15,6 +15,7 @@
 from pistachiowinch.fleet.primary_lease import PRIMARY_LEASE_S
 from pistachiowinch.fleet.records import PrimaryRecord, encode_record, group_key
 from pistachiowinch.fleet.voter_set import ALL_VOTE_MAX_HOSTS, MAX_VOTERS
+from pistachiowinch.links.store import PollingStore
 from pistachiowinch.platform.documents import PlatformDocuments
 
 HOSTS = ALL_VOTE_MAX_HOSTS + 3
@@ -40,9 +41,13 @@
         self.hosts = {}
         for number, port in enumerate(free_ports(HOSTS)):
             name = f"h{number:02}"
-            self.clients[name] = self.store.client()
+            self.clients[name] = self.client()
             self.hosts[name] = self._host(name, f"z{number % 3}", port)
 
+    def client(self) -> PollingStore:
+        """Return a client of the store for one host."""
+        return self.store.client()
+
     def _host(self, name: str, zone: str, port: int) -> Host:
         links = EntryLinks(
             self.clients[name], self.link(), lambda view, log: self.orders(), PlatformDocuments()
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -15,6 +15,7 @@
     Put,
     StoreReplyLost,
     StoreUnavailable,
+    undated_revision,
 )
 from pistachiowinch.platform.store import PlatformStore
 from pistachiowinch.standins.http_store import PAGE_ITEMS
@@ -116,3 +117,45 @@
     stand_in.put("a/1", b"x")
     stand_in.raw["a/1"] = "%%%"
     assert (await store.get("a/1")).value == b""
+
+
+async def test_a_poll_never_continues_from_a_revision_of_an_earlier_era(store, stand_in):
+    """CONFIG: after a restore a watch from an old revision got no 410, and missed a removal."""
+    stand_in.put("a/1", b"x")
+    copy = stand_in.store.copy()
+    stand_in.put("a/2", b"x")
+    before = await store.read_prefix("a/")
+    stand_in.store.restore(copy)
+    for number in range(5):
+        stand_in.put("b/1", bytes([number]))
+    with pytest.raises(HistoryLost):
+        await store.changes("a/", before.revision, 0.1)
+    after = await store.read_prefix("a/")
+    assert after.revision > before.revision
+    assert [item.key for item in after.items] == ["a/1"]
+
+
+async def test_a_waiting_poll_ends_with_the_era(store, stand_in):
+    """CONFIG: the answer to a poll may come from the restored store."""
+    stand_in.put("a/1", b"x")
+    copy = stand_in.store.copy()
+    before = await store.read_prefix("a/")
+    waiting = asyncio.ensure_future(store.changes("a/", before.revision, 2.0))
+    await asyncio.sleep(0.05)
+    stand_in.store.restore(copy)
+    stand_in.put("a/2", b"x")
+    with pytest.raises(HistoryLost):
+        await waiting
+
+
+async def test_a_condition_of_an_earlier_era_never_holds(store, stand_in):
+    """ONE: after a restore the same revision can stand for another holder of the lock."""
+    copy = stand_in.store.copy()
+    first = await store.transact([Compare("lock", 0)], [Put("lock", b"first")])
+    stand_in.store.restore(copy)
+    stand_in.put("lock", b"second")
+    assert undated_revision(first.revision) == undated_revision(stand_in.store.revision)
+    with pytest.raises(StoreReplyLost):
+        await store.transact([Compare("lock", first.revision)], [Put("other", b"x")])
+    assert not (await store.transact([Compare("lock", first.revision)], [Put("o", b"x")])).succeeded
+    assert stand_in.store.apply_get("o") is None
