--- a/libs/standins/src/pistachiowinch/standins/peer_network.py
+++ b/libs/standins/src/pistachiowinch/standins/peer_network.py
@@ -97,6 +97,8 @@
         self._resume_events: dict[str, asyncio.Event] = {}
         self._rngs: dict[tuple[str, str], random.Random] = {}
         self._last_due_s: dict[tuple[str, str], float] = defaultdict(float)
+        self._link_rates: dict[str, float] = {}
+        self._link_free_s: dict[str, float] = {}
         self.messages_sent: Counter[str] = Counter()
         self.bytes_sent: Counter[str] = Counter()
         self.messages_received: Counter[str] = Counter()
@@ -212,6 +214,10 @@
         if resumed is not None:
             await resumed.wait()
 
+    def set_link_rate(self, host: str, bytes_per_s: float) -> None:
+        """Limit how fast a host's messages leave it."""
+        self._link_rates[host] = bytes_per_s
+
     def transmit(self, link: MemoryPeerLink, receiver: str, data: bytes) -> None:
         """Send one encoded message; called by the sender's link."""
         sender = link.host
@@ -231,7 +237,7 @@
         if pair in self._cuts or rng.random() < faults.loss:
             self.messages_lost[receiver] += 1
             return
-        due_s = now_s() + self._delays_s.get(pair, self._default_delay_s)
+        due_s = self._sent_s(sender, data) + self._delays_s.get(pair, self._default_delay_s)
         if rng.random() < faults.delay:
             due_s += rng.uniform(0.0, faults.extra_delay_s)
         if rng.random() < faults.reordering:
@@ -243,6 +249,15 @@
         if rng.random() < faults.duplication:
             self._deliver_at(due_s + rng.uniform(0.0, faults.extra_delay_s), pair, data)
 
+    def _sent_s(self, sender: str, data: bytes) -> float:
+        """Return when a message has left its sender, whose messages leave one after the other."""
+        rate = self._link_rates.get(sender)
+        if rate is None:
+            return now_s()
+        start_s = max(now_s(), self._link_free_s.get(sender, 0.0))
+        self._link_free_s[sender] = start_s + len(data) / rate
+        return self._link_free_s[sender]
+
     def _deliver_at(self, due_s: float, pair: tuple[str, str], data: bytes) -> None:
         asyncio.get_running_loop().call_at(due_s, self._deliver, *pair, data)
 
