Read a configuration that is too large for the voters' links from the store

Cause: the class is fan-out through a few narrow links: what five voters send grows with the size of a change times the hosts, and only small changes were considered. Change: a voter withholds keys if they would take more than half a second on its link for all its readers. The host that asked reads them from the store, whose link carries hundreds of Mbit/s; if the store does not answer it, it asks the voter again and gets an answer of any size. A change of usual size (20 kB) makes no store call.

--- a/libs/entry/src/pistachiowinch/entry/host.py
+++ b/libs/entry/src/pistachiowinch/entry/host.py
@@ -219,6 +219,7 @@
                 self._documents.targets_prefix: self._registry.follower,
             },
             self._peer_link,
+            lambda: self._voter_set.readers_per_voter,
         )
 
     def _build_switching(self, links: EntryLinks) -> None:
--- a/libs/fleet/src/pistachiowinch/fleet/messages.py
+++ b/libs/fleet/src/pistachiowinch/fleet/messages.py
@@ -54,10 +54,13 @@
     """Asks for the keys under a prefix that changed after a revision.
 
     :param after_revision: a negative value asks for all keys.
+    :param is_last_resort: whether the sender could not read the store itself and therefore needs
+        an answer of any size.
     """
 
     prefix: str
     after_revision: int
+    is_last_resort: bool = False
 
 
 class ChangesAnswer(msgspec.Struct, tag="ca", array_like=True, frozen=True):
@@ -67,9 +70,12 @@
     :param revision: revision up to which the answer is complete; negative if the sender has no
         copy of the prefix.
     :param age_ms: time since the sender's copy was last known to be complete.
+    :param is_withheld: whether the keys are left out because of their size, and have to be read
+        from the store.
     """
 
     is_whole: bool
     keys: tuple[ChangedKey, ...]
     revision: int
     age_ms: int
+    is_withheld: bool = False
--- a/libs/fleet/src/pistachiowinch/fleet/relaying.py
+++ b/libs/fleet/src/pistachiowinch/fleet/relaying.py
@@ -2,7 +2,8 @@
 
 Each call to the store costs money, so in a large fleet only the voters follow it. Their heartbeats
 state the revision of their copy of each prefix, and the other hosts request the changes that they
-lack. A host reads the store itself only while it hears from no voter that reaches the store.
+lack. A host reads the store itself only while it hears from no voter that reaches the store, and if
+the changed keys are too large for the links of a few voters.
 """
 
 import asyncio
@@ -18,9 +19,11 @@
 from pistachiowinch.links.peers import PeerLink, PeerUnreachable
 from pistachiowinch.links.store import (
     ChangeBatch,
+    HistoryLost,
     KeyValue,
     PollingStore,
     Snapshot,
+    StoreError,
     StoreUnavailable,
     WatchEvent,
 )
@@ -32,6 +35,9 @@
 RELAY_WAIT_S = 1.0
 # A configuration of 1 MB takes 1.6 s on the users' slowest link of 5 Mbit/s.
 RELAY_TIMEOUT_S = 2.5
+# Bytes that a voter sends to all its readers for one change: half a second on the users' slowest
+# link. Heartbeats share the link, and a later one would let primary leases expire.
+RELAY_BUDGET_BYTES = 300_000
 # Slower answers are logged; one over an idle link takes a few milliseconds.
 SLOW_RELAY_S = 0.5
 # Time for which a host that starts waits for the first heartbeat of a voter before it polls the
@@ -51,11 +57,18 @@
 
     :param followers: copies by prefix.
     :param link: messages to the peers.
+    :param reader_count: returns the number of hosts that read from this one.
     """
 
-    def __init__(self, followers: Mapping[str, PrefixFollower], link: PeerLink) -> None:
+    def __init__(
+        self,
+        followers: Mapping[str, PrefixFollower],
+        link: PeerLink,
+        reader_count: Callable[[], float] = lambda: 0.0,
+    ) -> None:
         """Register the request handler."""
         self._followers = followers
+        self._reader_count = reader_count
         link.on_request(ChangesRequest, ChangesAnswer, self._answer)
 
     def prefix_revisions(self) -> dict[str, int]:
@@ -83,6 +96,10 @@
         if events is None:
             events = (WatchEvent(i.key, i.value, i.mod_revision) for i in follower.items.values())
         keys = tuple(ChangedKey(*event) for event in events)
+        size_bytes = sum(len(key.value or b"") for key in keys)
+        is_too_large = size_bytes * self._reader_count() > RELAY_BUDGET_BYTES
+        if is_too_large and not request.is_last_resort:
+            return ChangesAnswer(is_whole, (), follower.revision, age_ms, is_withheld=True)
         return ChangesAnswer(is_whole, keys, follower.revision, age_ms)
 
 
@@ -143,6 +160,12 @@
             self._next_direct_s.pop(prefix, None)
             return snapshot
         answer, as_of_s = await self._request_changes(voters, prefix, _ALL_KEYS)
+        if answer.is_withheld:
+            try:
+                return await self._store.read_prefix(prefix)
+            except StoreError as error:
+                self._log_withheld(prefix, error)
+            answer, as_of_s = await self._request_changes(voters, prefix, _ALL_KEYS, True)
         items = (KeyValue(key.key, key.value or b"", key.revision) for key in answer.keys)
         return Snapshot(tuple(items), answer.revision, as_of_s)
 
@@ -160,6 +183,14 @@
         if not newer:
             return ChangeBatch((), after_revision, _as_of_s(voters, prefix, after_revision))
         answer, as_of_s = await self._request_changes(newer, prefix, after_revision)
+        if answer.is_withheld:
+            try:
+                return await self._store.changes(prefix, after_revision, 0.0)
+            except HistoryLost:
+                raise
+            except StoreError as error:
+                self._log_withheld(prefix, error)
+            answer, as_of_s = await self._request_changes(newer, prefix, after_revision, True)
         events = (WatchEvent(key.key, key.value, key.revision) for key in answer.keys)
         return ChangeBatch(tuple(events), answer.revision, as_of_s, answer.is_whole)
 
@@ -221,16 +252,25 @@
         finally:
             del self._waiters[prefix]
 
+    def _log_withheld(self, prefix: str, error: StoreError) -> None:
+        """Log that the store did not answer with keys that a voter withheld."""
+        self._log.write("withheld_unread", prefix=prefix, cause=str(error)[:60])
+
     async def _request_changes(
-        self, voters: list[ReceivedHeartbeat], prefix: str, after_revision: int
+        self,
+        voters: list[ReceivedHeartbeat],
+        prefix: str,
+        after_revision: int,
+        is_last_resort: bool = False,
     ) -> tuple[ChangesAnswer, float]:
         """Request changes from one voter.
 
+        :param is_last_resort: whether an answer of any size is needed.
         :returns: its answer, and the loop time as of which the answer is complete.
         """
         host = random.choice(voters).heartbeat.host
         sent_s = now_s()
-        request = ChangesRequest(prefix, after_revision)
+        request = ChangesRequest(prefix, after_revision, is_last_resort)
         try:
             answer = await self._link.request(host, request, RELAY_TIMEOUT_S)
         except PeerUnreachable as error:
@@ -246,12 +286,13 @@
             )
             raise StoreUnavailable(f"{host} knows less than this host")
         took_s = now_s() - sent_s
-        if answer.is_whole or took_s > SLOW_RELAY_S:
+        if answer.is_whole or answer.is_withheld or took_s > SLOW_RELAY_S:
             self._log.write(
                 "relayed",
                 host=host,
                 prefix=prefix,
                 is_whole=answer.is_whole,
+                is_withheld=answer.is_withheld,
                 revision=answer.revision,
                 own=after_revision,
                 keys=len(answer.keys),
--- a/libs/fleet/src/pistachiowinch/fleet/voter_set.py
+++ b/libs/fleet/src/pistachiowinch/fleet/voter_set.py
@@ -151,6 +151,13 @@
             return frozenset()
         return self._hosts.names - self._voters
 
+    @property
+    def readers_per_voter(self) -> float:
+        """Mean number of hosts that read from one voter; 0 if all hosts vote."""
+        if self.record is None:
+            return 0.0
+        return len(self._hosts.names - self._voters) / max(len(self._voters), 1)
+
     @property
     def expects_replies(self) -> bool:
         """Whether the heartbeat peers reply to this host's heartbeats at once."""
--- a/tests/fleet/test_relay_load.py
+++ b/tests/fleet/test_relay_load.py
@@ -41,7 +41,9 @@
             name = f"voter{number}"
             voter = PrefixFollower(self.store.client(), "op/", lambda *_: None, DecisionLog("test"))
             self.network.set_link_rate(name, LINK_BYTES_PER_S)
-            self.servers[name] = ChangeServer({"op/": voter}, self.network.link(name))
+            self.servers[name] = ChangeServer(
+                {"op/": voter}, self.network.link(name), lambda: readers / VOTERS
+            )
             self._run(voter.run())
         for number in range(readers):
             link = self.network.link(f"host{number}")
@@ -102,3 +104,27 @@
     await asyncio.sleep(APPLY_BOUND_S)
     assert fleet.has(document) == len(fleet.readers)
     fleet.close()
+
+
+async def test_hosts_that_the_store_refuses_get_a_large_configuration_from_voters():
+    """CONFIG: hosts that the store turns away must not be left with the old version."""
+    fleet = Fleet(VOTERS + 8)
+    await asyncio.sleep(1.0)
+    for client in fleet.clients:
+        client.faults.is_down = True
+    document = fleet.configure(400_000)
+    await asyncio.sleep(APPLY_BOUND_S)
+    assert fleet.has(document) == len(fleet.readers)
+    fleet.close()
+
+
+async def test_a_usual_change_costs_no_store_calls():
+    """Cost: 54 hosts must not read the store for each change of a configuration of usual size."""
+    fleet = Fleet()
+    await asyncio.sleep(1.0)
+    calls = sum(sum(client.calls.values()) for client in fleet.clients)
+    document = fleet.configure(20_000)
+    await asyncio.sleep(1.0)
+    assert fleet.has(document) == len(fleet.readers)
+    assert sum(sum(client.calls.values()) for client in fleet.clients) == calls
+    fleet.close()
