Give a call to the store time as long as its answer keeps arriving

Change: the timeout bounds silence, before and between the parts of an answer, instead of the whole call. Evidence: an answer in eight parts within 0.8 s and a timeout of 0.3 s failed before and arrives now; one that stops in the middle is still given up.

--- a/libs/base/src/pistachiowinch/base/http.py
+++ b/libs/base/src/pistachiowinch/base/http.py
@@ -10,6 +10,7 @@
 
 import h11
 
+from pistachiowinch.base.clock import now_s
 from pistachiowinch.base.sockets import set_socket_options
 
 __all__ = ["HttpClient", "HttpFailed", "HttpResponse", "serve_http"]
@@ -56,9 +57,17 @@
         self.writer.transport.abort()
 
     async def exchange(
-        self, method: str, target: str, headers: list[tuple[str, str]], body: bytes
+        self,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+        on_progress: Callable[[], None],
     ) -> HttpResponse:
-        """Send one request and read its response."""
+        """Send one request and read its response.
+
+        :param on_progress: called when a part of the response's body has arrived.
+        """
         request = h11.Request(method=method, target=target, headers=headers)
         data = self.codec.send(request) or b""
         if body:
@@ -77,6 +86,7 @@
                 received = {k.decode("latin-1"): v.decode("latin-1") for k, v in event.headers}
             elif isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
+                on_progress()
             elif isinstance(event, h11.EndOfMessage):
                 return HttpResponse(status, b"".join(parts), received)
             elif isinstance(event, h11.ConnectionClosed):
@@ -113,20 +123,27 @@
         """Make one call.
 
         :param target: path and query.
-        :param timeout_s: timeout of the whole call.
+        :param timeout_s: time until the body of the response begins to arrive, and between any two
+            parts of it. A body of a megabyte takes seconds on a slow link.
         :param connect_timeout_s: timeout of opening a connection.
         :raises HttpFailed: if no complete response arrived in time.
         """
         connection = None
         is_sent = False
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout(timeout_s) as timeout:
                 connection = self._take_idle() or await self._open(connect_timeout_s)
                 is_sent = True
                 all_headers = [("Host", self._address), *headers]
                 if body or method == "POST":
                     all_headers.append(("Content-Length", str(len(body))))
-                response = await connection.exchange(method, target, all_headers, body)
+                response = await connection.exchange(
+                    method,
+                    target,
+                    all_headers,
+                    body,
+                    lambda: timeout.reschedule(now_s() + timeout_s),
+                )
         except (TimeoutError, OSError, h11.ProtocolError) as error:
             if connection is not None:
                 connection.close()
--- a/libs/entry/src/pistachiowinch/entry/bounds.py
+++ b/libs/entry/src/pistachiowinch/entry/bounds.py
@@ -8,7 +8,7 @@
 class CallBounds(NamedTuple):
     """Timeouts of one call.
 
-    :param timeout_s: timeout of the whole call.
+    :param timeout_s: time until an answer begins to arrive, and between any two parts of it.
     :param connect_timeout_s: timeout of opening its connection.
     :param poll_slack_s: time added to the wait of a long poll until it times out.
     """
