Keep fencing tokens growing and wait for a lost promotion lock when the store was restored

Could happen (found by reading, shown by tests): the store's copy holds an older fencing token, so the next holder got one that was given before (1 after 1, 2, 3 in the test); and the record of the lock may be lost while its holder still orders promotions, so another host took the lock at once. Class: what the store has confirmed is taken to last. Change: a token is at least the first revision of the store's era, which exceeds every token of earlier eras. A host takes the lock in a new era only after it has read the fleet's records of that era and the lease of a lost lock has passed. The former holder's condition is of an earlier era and fails, so it records and sends no further order. Evidence: two of the three new tests failed before; tests of fleet and entry pass.

--- a/libs/entry/src/pistachiowinch/entry/host.py
+++ b/libs/entry/src/pistachiowinch/entry/host.py
@@ -229,7 +229,9 @@
         context = SwitchContext(
             host=identity.host,
             store=self._store,
-            promotion_lock=PromotionLock(self._store, identity.host, identity.incarnation, log),
+            promotion_lock=PromotionLock(
+                self._store, identity.host, identity.incarnation, log, self._fleet_follower
+            ),
             orders=self._orders,
             table=self._primaries,
             link=self._peer_link,
--- a/libs/fleet/src/pistachiowinch/fleet/following.py
+++ b/libs/fleet/src/pistachiowinch/fleet/following.py
@@ -13,6 +13,7 @@
     PrefixSource,
     StoreError,
     WatchEvent,
+    era_of,
 )
 
 __all__ = ["PrefixFollower"]
@@ -38,6 +39,10 @@
     :param batch_delay_s: returns the delay before the next poll after a change, which lets one
         answer carry several changes.
     :param delays_after_read: whether that delay also follows a read of all keys.
+    :ivar reconnected_s: loop time at which the store was last heard again after an outage.
+    :ivar era: the store's era in which the copy was read.
+    :ivar era_since_s: loop time at which the copy of an earlier era was replaced; negative infinity
+        if there was none.
     """
 
     def __init__(
@@ -66,6 +71,8 @@
         self.is_broken = True
         self.as_of_s = float("-inf")
         self.reconnected_s = float("-inf")
+        self.era = 0
+        self.era_since_s = float("-inf")
 
     @property
     def revision(self) -> int:
@@ -166,11 +173,18 @@
         """Replace the whole copy."""
         self.items = {item.key: item for item in items}
         self._revision = revision
+        self._note_era(era_of(revision))
         self._recent_changes.clear()
         self._kept_after_revision = revision
         self.is_loaded.set()
         self._on_change(tuple(self.items), True)
 
+    def _note_era(self, era: int) -> None:
+        if self.is_loaded.is_set() and era != self.era:
+            self.era_since_s = self.reconnected_s = now_s()
+            self._log.write("era_began", prefix=self._prefix, era=era, before=self.era)
+        self.era = era
+
     def _apply(self, events: Iterable[WatchEvent]) -> None:
         changed = []
         for event in events:
--- a/libs/fleet/src/pistachiowinch/fleet/promotion_lock.py
+++ b/libs/fleet/src/pistachiowinch/fleet/promotion_lock.py
@@ -5,6 +5,7 @@
 
 from pistachiowinch.base.clock import now_s
 from pistachiowinch.base.decisions import DecisionLog
+from pistachiowinch.fleet.following import PrefixFollower
 from pistachiowinch.fleet.records import (
     FENCING_TOKEN_KEY,
     PROMOTION_LOCK_KEY,
@@ -20,6 +21,8 @@
     PollingStore,
     Put,
     StoreError,
+    dated_revision,
+    era_of,
 )
 
 __all__ = ["LOCK_LEASE_S", "PromotionLock", "is_ended_run", "try_acquire_lock"]
@@ -38,10 +41,19 @@
     :param host: this host's name.
     :param run: random number that identifies this run of the host.
     :param log: receives this part's decisions.
+    :param records: copy of the fleet's records, which tells when the store was restored.
     """
 
-    def __init__(self, store: PollingStore, host: str, run: int, log: DecisionLog) -> None:
+    def __init__(
+        self,
+        store: PollingStore,
+        host: str,
+        run: int,
+        log: DecisionLog,
+        records: PrefixFollower | None = None,
+    ) -> None:
         """Create a lock that is not held."""
+        self._records = records
         self._store = store
         self._host = host
         self._run = run
@@ -76,12 +88,14 @@
     async def _acquire(self) -> bool:
         if self._lease != NO_LEASE and await self._renew():
             return True
-        sent_s = now_s()
         current = await self._store.get(PROMOTION_LOCK_KEY)
         if current is not None and not self._is_of_previous_run(current):
             return self._log_if_own(current)
-        token_item = await self._store.get(FENCING_TOKEN_KEY)
-        fencing_token = self._next_fencing_token(token_item)
+        snapshot = await self._store.read_prefix(FENCING_TOKEN_KEY)
+        if self._may_lost_lock_be_held(era_of(snapshot.revision)):
+            return False
+        token_item = next((i for i in snapshot.items if i.key == FENCING_TOKEN_KEY), None)
+        fencing_token = self._next_fencing_token(token_item, era_of(snapshot.revision))
         sent_s = now_s()
         lease = await self._store.grant_lease(LOCK_LEASE_S)
         reply = await self._store.transact(
@@ -109,15 +123,31 @@
         self._log.write("duty_acquired", fence=fencing_token, lease=lease)
         return True
 
-    def _next_fencing_token(self, item: KeyValue | None) -> int:
+    def _may_lost_lock_be_held(self, era: int) -> bool:
+        """Return whether a host may hold a lock whose record a restored store has lost.
+
+        :param era: the store's era.
+        """
+        if self._records is None:
+            return False
+        is_unread = era != self._records.era
+        may_be_held = is_unread or now_s() - self._records.era_since_s < LOCK_LEASE_S
+        if may_be_held:
+            self._log.write("duty_waits_for_lost_lock", era=era, read=self._records.era)
+        return may_be_held
+
+    def _next_fencing_token(self, item: KeyValue | None, era: int) -> int:
+        # A restored store has lost the newest tokens, and each token of an earlier era is smaller
+        # than the revisions of this one.
+        first = dated_revision(era, 1)
         if item is None:
-            return 1
+            return first
         newest = decode_record(item, FencingTokenRecord)
         if newest is None:
-            # Store revisions only grow, so the revision exceeds every token that was ever written.
+            # Every token is smaller than the revision with which the next one is written.
             self._log.write("record_unreadable", key=item.key, revision=item.mod_revision)
-            return item.mod_revision
-        return newest.fence + 1
+            return max(item.mod_revision, first)
+        return max(newest.fence + 1, first)
 
     async def _renew(self) -> bool:
         sent_s = now_s()
--- a/tests/fleet/test_promotion_lock.py
+++ b/tests/fleet/test_promotion_lock.py
@@ -6,9 +6,10 @@
 from fleet.store_support import put
 
 from pistachiowinch.base.decisions import DecisionLog
+from pistachiowinch.fleet.following import PrefixFollower
 from pistachiowinch.fleet.promotion_lock import LOCK_LEASE_S, ORDER_MARGIN_S, PromotionLock
 from pistachiowinch.fleet.records import FENCING_TOKEN_KEY
-from pistachiowinch.links.store import StoreReplyLost
+from pistachiowinch.links.store import Put, StoreReplyLost
 from pistachiowinch.standins.memory_store import MemoryStore
 
 pytestmark = pytest.mark.looptime
@@ -120,3 +121,48 @@
     lock = lock_of(MemoryStore(), "a")
     assert await asyncio.gather(lock.acquire(), lock.acquire()) == [True, True]
     assert lock.fencing_token == 1
+
+
+async def test_a_token_is_never_given_twice_although_the_store_lost_the_newest():
+    """ONE: a restored store holds older tokens, and the platform has seen newer ones."""
+    store = MemoryStore()
+    copy = store.copy()
+    tokens = []
+    for name in "abc":
+        lock = lock_of(store, name)
+        assert await lock.acquire()
+        tokens.append(lock.fencing_token)
+        await asyncio.sleep(LOCK_LEASE_S + 0.1)
+    store.restore(copy)
+    after = lock_of(store, "d")
+    assert await after.acquire()
+    assert after.fencing_token > max(tokens)
+
+
+async def test_a_lock_that_the_store_lost_is_waited_for():
+    """ONE: its holder still orders promotions while another host would take the lock."""
+    store, log = MemoryStore(), DecisionLog("test")
+    records = PrefixFollower(store, "fleet/", lambda *_: None, log)
+    following = asyncio.ensure_future(records.run())
+    await asyncio.sleep(0.1)
+    copy = store.copy()
+    holder = lock_of(store, "a")
+    assert await holder.acquire()
+    store.restore(copy)
+    other = PromotionLock(store, "b", 2, log, records)
+    while holder.is_held:
+        assert not await other.acquire()
+        await asyncio.sleep(0.1)
+    await asyncio.sleep(LOCK_LEASE_S)
+    assert await other.acquire()
+    following.cancel()
+
+
+async def test_a_holder_whose_lock_the_store_lost_writes_nothing_more():
+    """ONE: its condition must fail, so that it records and sends no further order."""
+    store = MemoryStore()
+    copy = store.copy()
+    lock = lock_of(store, "a")
+    assert await lock.acquire()
+    store.restore(copy)
+    assert not (await store.transact([lock.condition], [Put("order", b"x")])).succeeded
