Keep members that a restored store has lost, and list them again

Could happen (by reading, shown by tests): a host that had joined after the copy was made vanished from the members of all others at once, although it still used primaries, so a promoter did not ask it to stop; and it noticed only at the next renewal of its lease, up to 3.3 s later. Change: in a new era a host whose record is missing registers again within a second. Others keep members that they know and the copy lacks; the voter that removes absent members lists them again first, so a dead one is removed later by the usual rule.

--- a/libs/entry/src/pistachiowinch/entry/host.py
+++ b/libs/entry/src/pistachiowinch/entry/host.py
@@ -501,6 +501,7 @@
             self._configuration_lag.update()
             is_absent = self._hosts.has_absent and not self._fleet_follower.is_broken
             if is_absent and self._voter_set.is_voter and self._group_views.rank() == 0:
+                await self._hosts.list_again()
                 await self._hosts.remove_absent()
             self._registry.drop_missing()
             self._connections.trim_idle()
--- a/libs/fleet/src/pistachiowinch/fleet/registration.py
+++ b/libs/fleet/src/pistachiowinch/fleet/registration.py
@@ -1,5 +1,6 @@
 """Registration of this host in the store, and the list of the fleet's members."""
 
+import math
 import random
 from collections.abc import Callable, Iterable
 
@@ -76,6 +77,7 @@
         self._record = record
         self._log = log
         self._lease = NO_LEASE
+        self._registered_s = -math.inf
 
     async def run(self) -> None:
         """Register this host and renew its lease until cancelled."""
@@ -101,11 +103,23 @@
                 self._log.write("leave_failed", detail=str(error))
 
     async def _wait_for_renewal(self) -> None:
-        """Wait until the lease is due for renewal, or until another length is wanted."""
+        """Wait until the lease is due for renewal, another length is wanted or it was lost."""
         until_s = now_s() + self._lease_s * RENEWAL_FRACTION * random.uniform(0.9, 1.0)
         while now_s() < until_s and self._wanted_lease_s() == self._lease_s:
+            if self._is_lost_by_store():
+                self._log.write("registration_lost", lease=self._lease)
+                self._lease = NO_LEASE
+                return
             await sleep_s(min(remaining_s(until_s), HOST_LEASE_S * RENEWAL_FRACTION))
 
+    def _is_lost_by_store(self) -> bool:
+        """Return whether the store was restored from a copy without this host's record."""
+        follower = self._follower
+        if follower is None or follower.era_since_s < self._registered_s:
+            return False
+        keys = (host_key(self._record.host), member_key(self._record.host))
+        return any(key not in follower.items for key in keys)
+
     async def _read_previous(self) -> KeyValue | None:
         """Read the member record that a previous run of this host has left."""
         key = member_key(self._record.host)
@@ -130,6 +144,7 @@
         record = Put(host_key(self._record.host), encode_record(self._record), lease)
         member = Put(member_key(self._record.host), encode_record(self._record))
         await self._store.transact([], [record, member])
+        self._registered_s = now_s()
         self._lease = lease
         self._lease_s = lease_s
         self._log.write("registered", lease=lease, lease_s=lease_s)
@@ -154,6 +169,8 @@
         self._members: dict[str, HostIdentity] = {identity.host: identity}
         self._names = frozenset(self._members)
         self._revisions: dict[str, int] = {}
+        self._unlisted: dict[str, HostIdentity] = {}
+        self._era: int | None = None
         self._absent_since_s: dict[str, float] = {}
 
     @property
@@ -181,6 +198,8 @@
     def update(self, follower: PrefixFollower, changed: Iterable[str], is_whole: bool) -> None:
         """Replace the members by those in the follower's copy of the store.
 
+        Known members that a restored store has lost remain members until they are listed again.
+
         :param changed: keys that changed; an unreadable record is logged only on its change.
         :param is_whole: whether changes may have been missed, which restarts the absence times.
         """
@@ -199,6 +218,11 @@
                     record.host, record.run, record.availability_zone, record.peer_url
                 )
                 self._revisions[record.host] = item.mod_revision
+        if self._era is not None and follower.era != self._era:
+            self._unlisted |= self._members
+        self._era = follower.era
+        self._unlisted = {h: m for h, m in self._unlisted.items() if h not in members}
+        members |= self._unlisted
         self._members = members
         self._names = frozenset(members)
         absent = {host for host in members if host_key(host) not in follower.items}
@@ -206,11 +230,25 @@
         previous = {} if is_whole else self._absent_since_s
         self._absent_since_s = {host: previous.get(host, now_s()) for host in sorted(absent)}
 
+    async def list_again(self) -> None:
+        """Write members that a restored store has lost; a dead one is removed later as usual."""
+        for host, member in tuple(self._unlisted.items()):
+            record = HostRecord(host, member.incarnation, member.availability_zone, member.peer_url)
+            try:
+                reply = await self._store.transact(
+                    [Compare(member_key(host), 0)], [Put(member_key(host), encode_record(record))]
+                )
+            except StoreError as error:
+                self._log.write("member_not_listed", host=host, cause=str(error)[:60])
+                return
+            self._log.write("member_listed_again", host=host, succeeded=reply.succeeded)
+            self._unlisted.pop(host, None)
+
     async def remove_absent(self) -> None:
         """Remove members that have had no lease for ``MEMBER_REMOVAL_S``."""
         latest_since_s = now_s() - MEMBER_REMOVAL_S
         for host, since_s in tuple(self._absent_since_s.items()):
-            if since_s > latest_since_s:
+            if since_s > latest_since_s or host not in self._revisions:
                 continue
             condition = Compare(member_key(host), self._revisions[host])
             try:
--- a/tests/fleet/test_registration.py
+++ b/tests/fleet/test_registration.py
@@ -199,3 +199,59 @@
         await asyncio.sleep(20.0)
     assert world.store.calls["keep_alive"] >= 5
     task.cancel()
+
+
+async def following(store: MemoryStore, members: FleetMembers | None = None) -> PrefixFollower:
+    """Return a follower of the fleet's records, after its first read."""
+
+    def update(keys, is_whole) -> None:
+        if members is not None:
+            members.update(follower, keys, is_whole)
+
+    follower = PrefixFollower(store, FLEET_PREFIX, update, DecisionLog("test"))
+    follower.task = asyncio.ensure_future(follower.run())
+    await follower.is_loaded.wait()
+    return follower
+
+
+async def test_a_host_registers_again_soon_after_the_store_lost_its_record():
+    """ONE: others take a host that is not listed for gone, while it still uses a primary."""
+    store = MemoryStore()
+    copy = store.copy()
+    registration = HostRegistration(
+        store,
+        record("a"),
+        lambda: None,
+        DecisionLog("test"),
+        lambda: NON_VOTER_LEASE_S,
+        await following(store),
+    )
+    task = asyncio.ensure_future(registration.run())
+    await asyncio.sleep(0.5)
+    store.restore(copy)
+    await asyncio.sleep(1.5)
+    assert store.apply_get(host_key("a")) is not None
+    assert store.apply_get(member_key("a")) is not None
+    task.cancel()
+
+
+async def test_a_member_that_the_store_lost_remains_a_member():
+    """ONE: a promoter must ask a host to stop that joined after the copy was made."""
+    store = MemoryStore()
+    copy = store.copy()
+    put(store, member_key("b"), encode_record(record("b")))
+    members = FleetMembers(HostIdentity("a", 1, "z1", "tcp://a:1"), store, DecisionLog("test"))
+    follower = await following(store, members)
+    assert members.names == {"a", "b"}
+    store.restore(copy)
+    await asyncio.sleep(0.2)
+    assert members.names == {"a", "b"}
+    await members.list_again()
+    await asyncio.sleep(0.2)
+    assert members.names == {"a", "b"}
+    assert store.apply_get(member_key("b")) is not None
+    await asyncio.sleep(MEMBER_REMOVAL_S + 0.1)
+    await members.remove_absent()
+    await asyncio.sleep(0.2)
+    assert members.names == {"a"}
+    follower.task.cancel()
