Write primary records again that a restored store has lost, and trust it only after that

Could happen (by reading, shown by tests): the store's copy names a primary that was replaced after the copy was made. Running hosts keep what they know, but a host that starts then takes the old primary, with fresh contact to the store as its proof that no switch has begun.

--- a/libs/entry/src/pistachiowinch/entry/host.py
+++ b/libs/entry/src/pistachiowinch/entry/host.py
@@ -19,6 +19,7 @@
 from pistachiowinch.fleet.primaries import PrimaryTable
 from pistachiowinch.fleet.primary_lease import PRIMARY_LEASE_S, PrimaryLease
 from pistachiowinch.fleet.promotion_lock import PromotionLock, is_ended_run
+from pistachiowinch.fleet.record_repair import RecordRepair
 from pistachiowinch.fleet.records import (
     FLEET_PREFIX,
     GROUPS_PREFIX,
@@ -156,6 +157,14 @@
             lambda: self._voter_set.voters,
             self._membership.contacts,
             lambda: self._store_contact.as_of_s,
+            lambda: self._record_repair.is_complete,
+        )
+        self._record_repair = RecordRepair(
+            self._store,
+            self._fleet_follower,
+            self._primaries,
+            lambda: self.primary_lease.has_majority,
+            log,
         )
 
     def _build_sessions(self, links: EntryLinks) -> None:
@@ -493,16 +502,22 @@
             self._was_cut_off = self.is_cut_off
             self._log.write("cut_off" if self._was_cut_off else "cut_off_ended")
 
+    async def _maintain_records(self) -> None:
+        """Keep the fleet's records complete, on one of the voters."""
+        is_due = self._hosts.has_absent or not self._record_repair.is_complete
+        is_able = self._voter_set.is_voter and not self._fleet_follower.is_broken
+        if is_due and is_able and self._group_views.rank() == 0:
+            await self._hosts.list_again()
+            await self._hosts.remove_absent()
+            await self._record_repair.check()
+
     async def _upkeep(self) -> None:
         while True:
             await sleep_s(UPKEEP_INTERVAL_S)
             self._log_lease_change()
             self._update_outages()
             self._configuration_lag.update()
-            is_absent = self._hosts.has_absent and not self._fleet_follower.is_broken
-            if is_absent and self._voter_set.is_voter and self._group_views.rank() == 0:
-                await self._hosts.list_again()
-                await self._hosts.remove_absent()
+            await self._maintain_records()
             self._registry.drop_missing()
             self._connections.trim_idle()
             # Grace times of leaving targets and the lease expire without an event.
--- a/libs/fleet/src/pistachiowinch/fleet/primaries.py
+++ b/libs/fleet/src/pistachiowinch/fleet/primaries.py
@@ -8,12 +8,13 @@
 from pistachiowinch.base.decisions import DecisionLog
 from pistachiowinch.fleet.records import PrimaryRecord
 
-__all__ = ["PrimaryTable"]
+__all__ = ["PrimaryTable", "is_newer"]
 
 _NONE = PrimaryRecord(0, "")
 
 
-def _is_newer(record: PrimaryRecord, known: PrimaryRecord) -> bool:
+def is_newer(record: PrimaryRecord, known: PrimaryRecord) -> bool:
+    """Return whether a record replaces a known one of the same service."""
     if record.epoch != known.epoch:
         return record.epoch > known.epoch
     # Within an epoch, a record without a primary starts the switch and one with a primary ends it.
@@ -59,7 +60,7 @@
         :returns: whether the record was newer.
         """
         known = self._records.get(service)
-        if known is not None and not _is_newer(record, known):
+        if known is not None and not is_newer(record, known):
             return False
         self._records[service] = record
         self._log.write(
--- a/libs/fleet/src/pistachiowinch/fleet/primary_lease.py
+++ b/libs/fleet/src/pistachiowinch/fleet/primary_lease.py
@@ -37,6 +37,8 @@
     :param voters: returns the names of all voters.
     :param contacts: returns the names of hosts with evidence younger than the given seconds.
     :param store_as_of_s: returns the loop time as of which the store's records are known.
+    :param is_store_complete: returns whether the store has all records that hosts have written; a
+        restored one has lost some at first.
     """
 
     def __init__(
@@ -44,8 +46,10 @@
         voters: Callable[[], frozenset[str]],
         contacts: Callable[[float], frozenset[str]],
         store_as_of_s: Callable[[], float],
+        is_store_complete: Callable[[], bool] = lambda: True,
     ) -> None:
         """Create a lease from its sources of evidence."""
+        self._is_store_complete = is_store_complete
         self._voters = voters
         self._contacts = contacts
         self._store_as_of_s = store_as_of_s
@@ -60,4 +64,5 @@
     @property
     def is_valid(self) -> bool:
         """Whether work may be sent to a primary now."""
-        return now_s() - self._store_as_of_s() < PRIMARY_LEASE_S or self.has_majority
+        is_store_fresh = now_s() - self._store_as_of_s() < PRIMARY_LEASE_S
+        return (is_store_fresh and self._is_store_complete()) or self.has_majority
--- a/libs/fleet/src/pistachiowinch/fleet/records.py
+++ b/libs/fleet/src/pistachiowinch/fleet/records.py
@@ -7,6 +7,7 @@
 from pistachiowinch.links.store import KeyValue
 
 __all__ = [
+    "ERA_KEY",
     "FENCING_TOKEN_KEY",
     "FLEET_PREFIX",
     "GROUPS_PREFIX",
@@ -14,6 +15,7 @@
     "MEMBERS_PREFIX",
     "PROMOTION_LOCK_KEY",
     "VOTER_SET_KEY",
+    "EraRecord",
     "FencingTokenRecord",
     "HostRecord",
     "PrimaryRecord",
@@ -35,6 +37,7 @@
 VOTER_SET_KEY = "fleet/council"
 PROMOTION_LOCK_KEY = "fleet/duty"
 FENCING_TOKEN_KEY = "fleet/fence"
+ERA_KEY = "fleet/era"
 
 
 class HostRecord(msgspec.Struct, frozen=True):
@@ -89,6 +92,12 @@
     fence: int
 
 
+class EraRecord(msgspec.Struct, frozen=True):
+    """Newest era of the store in which the fleet's records are known to be complete."""
+
+    era: int
+
+
 def host_key(host: str) -> str:
     """Return the key of a host's record."""
     return HOSTS_PREFIX + host
--- a/tests/entry/test_restored_store.py
+++ b/tests/entry/test_restored_store.py
@@ -3,7 +3,7 @@
 import asyncio
 
 import pytest
-from entry.test_large_fleet import LargeFleet, free_ports, until
+from entry.test_large_fleet import LargeFleet, free_ports
 
 from pistachiowinch.base.decisions import DecisionLog
 from pistachiowinch.base.metrics import Metrics
@@ -41,6 +41,10 @@
         self.store.restore(copy)
         self.server.error_status = 0
 
+    def versions(self) -> dict[str, int]:
+        """Return the configuration version of each host."""
+        return {name: host.view.configuration.version for name, host in self.hosts.items()}
+
     async def close(self) -> None:
         """Stop all hosts and the server."""
         await super().close()
@@ -64,13 +68,12 @@
     for version in range(6, 20):
         fleet.configure(version)
         await asyncio.sleep(0.05)
-    await until(lambda: all(h.view.configuration.version == 19 for h in fleet.hosts.values()), 3.0)
+    await asyncio.sleep(CONFIGURATION_BOUND_S)
+    assert fleet.versions() == dict.fromkeys(fleet.hosts, 19)
     await fleet.restore(copy)
     fleet.configure(19)
     await asyncio.sleep(2.0)
     fleet.configure(20)
-    await until(
-        lambda: all(h.view.configuration.version == 20 for h in fleet.hosts.values()),
-        CONFIGURATION_BOUND_S,
-    )
+    await asyncio.sleep(CONFIGURATION_BOUND_S)
+    assert fleet.versions() == dict.fromkeys(fleet.hosts, 20)
     assert all(host.is_ready for host in fleet.hosts.values())
