Wait for an order that a restored store has lost

Could happen: a promoter had recorded an order, the store lost the record, and the host that continues the switch read an earlier epoch without an order, so it ordered another target at once while the first order could still take effect. Change: if the store's record is older than the epoch that this host knows, the order is unknown, which is waited for as for records of an older build.

--- a/libs/fleet/src/pistachiowinch/fleet/switching.py
+++ b/libs/fleet/src/pistachiowinch/fleet/switching.py
@@ -174,8 +174,11 @@
         try:
             current = await self._context.store.get(key)
             recorded = self._decode_recorded(current)
-            self._epoch = max(recorded.epoch, self._context.table.epoch(service)) + 1
-            self._ordered = recorded.ordered if self._is_continued else ""
+            known_epoch = self._context.table.epoch(service)
+            self._epoch = max(recorded.epoch, known_epoch) + 1
+            # A restored store may have lost the record of an order.
+            ordered = recorded.ordered if recorded.epoch >= known_epoch else None
+            self._ordered = ordered if self._is_continued else ""
             record = PrimaryRecord(self._epoch, "", self._ordered)
             reply = await self._context.store.transact(
                 [
--- a/tests/fleet/test_switching.py
+++ b/tests/fleet/test_switching.py
@@ -368,3 +368,12 @@
     loop.call_later(0.3, setattr, world.store.faults, "is_down", True)
     assert not await PrimarySwitch(world.context, CRASH_REQUEST).run()
     assert not world.group.promotions
+
+
+async def test_an_order_that_the_store_lost_is_waited_for():
+    """ONE: two orders for different targets; a restored store names no order of the known epoch."""
+    world = World()
+    world.table.adopt("s", PrimaryRecord(2, ""), "peer")
+    put(world.store, group_key("s"), encode_record(PrimaryRecord(1, "a", "")))
+    assert await PrimarySwitch(world.context, CONTINUED_REQUEST).run()
+    assert now_s() >= ORDER_EFFECT_S
