Do not use targets again, nor forget evacuations, because the store was restored

Could happen: the copy shows a draining target as ready, lists one that is gone and lacks an evacuation, until targets and operators have written again. Change: for 2.3 s after the beginning of an era an entry gives way to a newer one that this host has seen (start time and report number), a target that was removed needs a newer entry, and known evacuations stay. After that the store's word counts. Evidence: the tests of target and evacuation failed before; that of a withdrawn key passed before, as versions never go back, and stays as a guard.

--- a/libs/entry/src/pistachiowinch/entry/host.py
+++ b/libs/entry/src/pistachiowinch/entry/host.py
@@ -12,7 +12,7 @@
 from pistachiowinch.entry.configuration_lag import ConfigurationLag
 from pistachiowinch.entry.group_views import GroupViews
 from pistachiowinch.entry.links import EntryLinks, HostAddress
-from pistachiowinch.entry.registry import TargetRegistry
+from pistachiowinch.entry.registry import REREGISTRATION_WAIT_S, TargetRegistry
 from pistachiowinch.entry.shares import Shares
 from pistachiowinch.fleet.following import PrefixFollower
 from pistachiowinch.fleet.messages import DrainAnswer, DrainRequest, PrimaryNotice
@@ -395,11 +395,18 @@
         item = items.get(self._documents.configuration_key)
         if item is not None and item.key in keys:
             self._apply_configuration(item)
-        prefix = self._documents.evacuations_prefix
-        zones = (key.removeprefix(prefix) for key in items if key.startswith(prefix))
-        self.view.set_evacuated(frozenset(zones))
+        self._update_evacuated()
         self._connections.wake_all()
 
+    def _update_evacuated(self) -> None:
+        """Apply the evacuations; a restored store may lack one until operators wrote it again."""
+        prefix = self._documents.evacuations_prefix
+        items = self._operators_follower.items
+        zones = frozenset(key.removeprefix(prefix) for key in items if key.startswith(prefix))
+        if self._operators_follower.is_rewriting(REREGISTRATION_WAIT_S):
+            zones |= self.view.evacuated
+        self.view.set_evacuated(zones)
+
     def _apply_configuration(self, item: KeyValue) -> None:
         try:
             configuration = self._documents.decode_configuration(item)
@@ -519,6 +526,7 @@
             self._configuration_lag.update()
             await self._maintain_records()
             self._registry.drop_missing()
+            self._update_evacuated()
             self._connections.trim_idle()
             # Grace times of leaving targets and the lease expire without an event.
             self._connections.wake_all()
--- a/libs/entry/src/pistachiowinch/entry/registry.py
+++ b/libs/entry/src/pistachiowinch/entry/registry.py
@@ -1,6 +1,6 @@
 """Follow the target registry in the store, also through outages of the store."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from pistachiowinch.base.clock import now_s
 from pistachiowinch.base.decisions import DecisionLog
@@ -13,11 +13,13 @@
 from pistachiowinch.sessions.placement import targets_by_name
 from pistachiowinch.sessions.site import SiteView, Target
 
-__all__ = ["TargetRegistry"]
+__all__ = ["REREGISTRATION_WAIT_S", "TargetRegistry"]
 
 # After an outage targets restore their expired entries within 2 s, and the watch reports them a
 # little later.
 REREGISTRATION_WAIT_S = 2.3
+# Longer than the age of a copy from which the store may be restored.
+REMOVED_MEMORY_S = 60.0
 
 
 class TargetRegistry:
@@ -52,12 +54,13 @@
         self._primaries = primaries
         self._log = log
         self._has_missing = False
+        self._removed: dict[str, tuple[Target, float]] = {}
         self.follower = PrefixFollower(
             store, documents.targets_prefix, self._on_change, log, batch_delay_s, True
         )
 
     def drop_missing(self) -> None:
-        """Drop targets whose entries were not restored after an outage."""
+        """Drop targets whose entries were not written again after an outage or a restore."""
         if self._has_missing and self._is_settled:
             self._apply(self._decode_entries(()))
 
@@ -84,18 +87,18 @@
 
     def _apply(self, found: dict[str, Target]) -> None:
         """Apply the targets; keep missing ones until the store has been back for a while."""
-        missing = {
-            name: target
-            for name, target in targets_by_name(self._view).items()
-            if name not in found
-        }
+        known = targets_by_name(self._view)
         self._has_missing = False
+        if self.follower.is_rewriting(REREGISTRATION_WAIT_S):
+            found = self._without_outdated(found, known)
+        missing = {name: target for name, target in known.items() if name not in found}
         if missing and not self._is_settled:
             # A missing target whose address belongs to another target now was replaced.
             taken = {target.address for target in found.values()}
             kept = {name: t for name, t in missing.items() if t.address not in taken}
-            self._has_missing = bool(kept)
+            self._has_missing |= bool(kept)
             found = found | kept
+        self._remember_removed({n: t for n, t in missing.items() if n not in found})
         self._view.set_targets(found.values())
         self._connections.set_targets(found)
         self._health.keep_only(found)
@@ -103,3 +106,27 @@
             claims = [t.name for t in self._view.targets(service).values() if t.claims_primary]
             if len(claims) == 1:
                 self._primaries.set_registry_primary(service, claims[0])
+
+    def _without_outdated(
+        self, found: dict[str, Target], known: Mapping[str, Target]
+    ) -> dict[str, Target]:
+        """Replace entries of a restored store by newer ones that this host has seen.
+
+        Targets that were removed after the copy was made are left out.
+        """
+        current: dict[str, Target] = {}
+        for name, target in found.items():
+            removed = self._removed.get(name)
+            if name in known and target.is_older_than(known[name]):
+                current[name] = known[name]
+            elif name in known or removed is None or removed[0].is_older_than(target):
+                current[name] = target
+                continue
+            self._has_missing = True
+            self._log.write("entry_outdated", target=name, sequence=target.sequence)
+        return current
+
+    def _remember_removed(self, removed: Mapping[str, Target]) -> None:
+        oldest_s = now_s() - REMOVED_MEMORY_S
+        self._removed = {n: e for n, e in self._removed.items() if e[1] > oldest_s}
+        self._removed |= {name: (target, now_s()) for name, target in removed.items()}
--- a/libs/fleet/src/pistachiowinch/fleet/following.py
+++ b/libs/fleet/src/pistachiowinch/fleet/following.py
@@ -86,6 +86,13 @@
             return -1
         return self._recent_changes[-1][0] if self._recent_changes else self._kept_after_revision
 
+    def is_rewriting(self, wait_s: float) -> bool:
+        """Return whether the store's other writers may not have restored what it lost.
+
+        :param wait_s: time that they take after the beginning of an era.
+        """
+        return now_s() - self.era_since_s < wait_s
+
     def changes_after(self, revision: int) -> tuple[WatchEvent, ...] | None:
         """Return the current state of all keys that changed after a revision, oldest change first.
 
--- a/libs/sessions/src/pistachiowinch/sessions/site.py
+++ b/libs/sessions/src/pistachiowinch/sessions/site.py
@@ -101,6 +101,7 @@
     :param claims_primary: whether the target reports itself as primary, which may be out of date.
     :param started_ms: start time of its process; distinguishes a restarted target from its
         previous process.
+    :param sequence: number of the report from which the entry was made; grows within a process.
     """
 
     name: str
@@ -111,6 +112,11 @@
     is_leaving: bool
     claims_primary: bool
     started_ms: int
+    sequence: int = 0
+
+    def is_older_than(self, other: "Target") -> bool:
+        """Return whether this entry was made before another one of the same target."""
+        return (self.started_ms, self.sequence) < (other.started_ms, other.sequence)
 
 
 class SiteView:
@@ -156,6 +162,11 @@
         self._targets = found
         self._refresh_leaving()
 
+    @property
+    def evacuated(self) -> frozenset[str]:
+        """Availability zones that operators have evacuated."""
+        return self._evacuated
+
     def set_evacuated(self, zones: frozenset[str]) -> None:
         """Replace the availability zones that operators have evacuated."""
         if zones != self._evacuated:
--- a/tests/entry/test_host.py
+++ b/tests/entry/test_host.py
@@ -12,6 +12,7 @@
 from pistachiowinch.base.metrics import Metrics
 from pistachiowinch.entry.host import Host
 from pistachiowinch.entry.links import EntryLinks, HostAddress
+from pistachiowinch.entry.registry import REREGISTRATION_WAIT_S
 from pistachiowinch.fleet.records import (
     PROMOTION_LOCK_KEY,
     PrimaryRecord,
@@ -60,11 +61,11 @@
         """Write the operators' configuration."""
         put(self.store, "op/config", json.dumps({**CONFIGURATION, "version": version}).encode())
 
-    def register(self, name: str) -> None:
+    def register(self, name: str, state: str = "ready", sequence: int = 1) -> None:
         """Write a target's entry."""
         role = "primary" if self.targets[name].is_primary else "replica"
         entry = {"service": "svc", "address": f"10.0.0.1:{ord(name)}", "zone": "z1"}
-        entry |= {"state": "ready", "dbRole": role, "slots": 5, "born": 1}
+        entry |= {"state": state, "dbRole": role, "slots": 5, "born": 1, "seq": sequence}
         put(self.store, f"servers/{name}", json.dumps(entry).encode())
 
     def link(self) -> FakeLink:
@@ -166,3 +167,50 @@
     await asyncio.sleep(1.5)
     assert site.host.primary_lease.is_valid
     assert isinstance(await site.read(), CompletedStatement)
+
+
+async def test_a_target_that_left_is_not_used_again_after_a_restore(site):
+    """DRAIN and ROUTE: the store's copy shows a draining target as ready, and one that is gone."""
+    copy = site.store.copy()
+    site.register("b", "draining", 9)
+    await asyncio.sleep(0.2)
+    assert site.host.view.is_leaving("b")
+    site.store.restore(copy)
+    await asyncio.sleep(0.2)
+    assert site.host.view.is_leaving("b")
+    put(site.store, "servers/b", None)
+    await asyncio.sleep(REREGISTRATION_WAIT_S + 0.3)
+    assert set(site.host.view.targets("svc")) == {"a"}
+    site.store.restore(copy)
+    await asyncio.sleep(0.2)
+    assert set(site.host.view.targets("svc")) == {"a"}
+    site.register("b", "ready", 10)
+    await asyncio.sleep(0.2)
+    assert set(site.host.view.targets("svc")) == {"a", "b"}
+
+
+async def test_an_evacuation_that_the_store_lost_stays_in_force(site):
+    """EVAC: the operators write it again, but a moment after the store's return."""
+    copy = site.store.copy()
+    put(site.store, "op/evacuate/z1", b"{}")
+    await asyncio.sleep(0.2)
+    site.store.restore(copy)
+    await asyncio.sleep(0.5)
+    assert site.host.view.is_leaving("a")
+    put(site.store, "op/evacuate/z1", b"{}")
+    await asyncio.sleep(REREGISTRATION_WAIT_S + 0.3)
+    assert site.host.view.is_leaving("a")
+    put(site.store, "op/evacuate/z1", None)
+    await asyncio.sleep(0.3)
+    assert not site.host.view.is_leaving("a")
+
+
+async def test_a_restored_store_does_not_bring_back_a_withdrawn_key(site):
+    """CONFIG: the copy holds a configuration with a key that was withdrawn."""
+    copy = site.store.copy()
+    document = {**CONFIGURATION, "version": 6, "tenants": []}
+    put(site.store, "op/config", json.dumps(document).encode())
+    await asyncio.sleep(0.2)
+    site.store.restore(copy)
+    await asyncio.sleep(0.3)
+    assert not isinstance(await site.read(), CompletedStatement)
