Number the voter sets, so that a restored store does not bring back previous voters

Could happen: the copy holds an earlier voter set, which every host adopted as if it were a change, so hosts relied on voters that a switch no longer asks. Change: the record has a number that grows with each change. An older or missing record does not replace the known one, and a managing host writes the known one again. Evidence: the new test failed before (all hosts had the previous voters again); tests of fleet and entry pass.

--- a/libs/fleet/src/pistachiowinch/fleet/records.py
+++ b/libs/fleet/src/pistachiowinch/fleet/records.py
@@ -72,10 +72,12 @@
     :param hosts: names of the voters.
     :param previous: names of the previous voters; a host that has not read this record yet may
         still use their majorities.
+    :param number: grows by one with each change.
     """
 
     hosts: tuple[str, ...]
     previous: tuple[str, ...]
+    number: int = 0
 
 
 class PromotionLockRecord(msgspec.Struct, frozen=True):
--- a/libs/fleet/src/pistachiowinch/fleet/voter_set.py
+++ b/libs/fleet/src/pistachiowinch/fleet/voter_set.py
@@ -77,6 +77,8 @@
     :param host: this host's name.
     :param hosts: the members.
     :param log: receives this part's decisions.
+    :ivar record: newest known record; None while all members vote.
+    :ivar is_lost: whether a restored store lacks the newest known record.
     """
 
     def __init__(self, host: str, hosts: FleetMembers, log: DecisionLog) -> None:
@@ -88,10 +90,11 @@
         self._updated_s = float("-inf")
         self._voters: frozenset[str] = frozenset()
         self.record: VoterSetRecord | None = None
+        self.is_lost = False
 
     @property
     def revision(self) -> int:
-        """Revision of the record; 0 if there is none."""
+        """Revision of the record in the store; 0 if there is none."""
         return self._revision
 
     @property
@@ -164,16 +167,24 @@
         return self.record is not None and not self.is_voter
 
     def update(self, follower: PrefixFollower) -> None:
-        """Adopt the record in the follower's copy of the store if it has changed."""
+        """Adopt the record in the follower's copy of the store if it is a newer one.
+
+        A restored store may hold an older record or none; the known one then stays in force.
+        """
         item = follower.items.get(VOTER_SET_KEY)
-        if item is None or item.mod_revision == self._revision:
+        revision = 0 if item is None else item.mod_revision
+        if revision == self._revision:
             return
-        record = decode_record(item, VoterSetRecord)
-        if record is None:
+        self._revision = revision
+        record = None if item is None else decode_record(item, VoterSetRecord)
+        if item is not None and record is None:
             self._log.write("record_unreadable", key=item.key, revision=item.mod_revision)
+        known_number = -1 if self.record is None else self.record.number
+        stored_number = -1 if record is None else record.number
+        self.is_lost = stored_number < known_number
+        if record is None or record == self.record or self.is_lost:
             return
         self.record = record
-        self._revision = item.mod_revision
         self._voters = frozenset(record.hosts)
         self._updated_s = now_s()
         self._log.write(
@@ -229,6 +240,8 @@
     def _needs_change(self) -> bool:
         if self._voter_set.record is None:
             return self._voter_set.is_missing
+        if self._voter_set.is_lost:
+            return True
         if not self._voter_set.is_settled:
             return False
         absent = self._hosts.absent_for(VOTER_ABSENCE_LIMIT_S)
@@ -252,12 +265,19 @@
         return present & (self._heard(VOTER_ABSENCE_LIMIT_S) | {self._host})
 
     async def _change(self) -> None:
+        known = self._voter_set.record
+        if known is not None and self._voter_set.is_lost:
+            await self._write(known)
+            return
         present = self._present_hosts()
         current = self._voter_set.voters if self._voter_set.record is not None else frozenset()
         hosts = choose_voters(self._hosts.members, present, sorted(current))
         if frozenset(hosts) == current:
             return
-        record = VoterSetRecord(hosts, tuple(sorted(self._voter_set.voters)))
+        number = 0 if known is None else known.number + 1
+        await self._write(VoterSetRecord(hosts, tuple(sorted(self._voter_set.voters)), number))
+
+    async def _write(self, record: VoterSetRecord) -> None:
         try:
             reply = await self._store.transact(
                 [Compare(VOTER_SET_KEY, self._voter_set.revision)],
@@ -266,4 +286,9 @@
         except StoreError as error:
             self._log.write("council_unchanged", cause=str(error)[:60])
             return
-        self._log.write("council_changed", hosts=hosts, succeeded=reply.succeeded)
+        self._log.write(
+            "council_changed",
+            hosts=record.hosts,
+            number=record.number,
+            succeeded=reply.succeeded,
+        )
--- a/tests/fleet/test_voter_set.py
+++ b/tests/fleet/test_voter_set.py
@@ -14,6 +14,7 @@
     VOTER_SET_KEY,
     HostRecord,
     VoterSetRecord,
+    decode_record,
     encode_record,
     host_key,
     member_key,
@@ -243,3 +244,25 @@
     assert fleet.store.calls["changes"] <= max_batches + 2 * len(views)
     for view in views:
         view.close()
+
+
+@pytest.mark.looptime
+async def test_a_restored_store_does_not_bring_back_previous_voters():
+    """STALE and ONE: hosts would rely on voters that a switch no longer asks."""
+    fleet = await large_fleet()
+    await asyncio.sleep(VOTER_TRANSITION_S)
+    copy = fleet.store.copy()
+    before = next(iter(fleet.views.values())).voter_set.voters
+    fleet.crash(sorted(before)[0])
+    await asyncio.sleep(VOTER_ABSENCE_LIMIT_S + 5 * CHECK_INTERVAL_S)
+    (after,) = {view.voter_set.voters for view in fleet.views.values()}
+    assert after != before
+    fleet.store.restore(copy)
+    await asyncio.sleep(0.1)
+    assert {view.voter_set.voters for view in fleet.views.values()} == {after}
+    await asyncio.sleep(5 * CHECK_INTERVAL_S)
+    stored = decode_record(fleet.store.apply_get(VOTER_SET_KEY), VoterSetRecord)
+    assert frozenset(stored.hosts) == after
+    for view in fleet.views.values():
+        assert view.voter_set.voter_groups == (after, before)
+    fleet.close()
