--- a/libs/soak/src/pistachiowinch/soak/cluster.py
+++ b/libs/soak/src/pistachiowinch/soak/cluster.py
@@ -131,6 +131,7 @@
         self._folder = folder
         self._command = command
         self._versions = itertools.count(1)
+        self._configuration: Operation | None = None
         self._tasks: set[asyncio.Task] = set()
         self._order_server = HttpOrders(self._promote)
 
@@ -195,7 +196,21 @@
                 self.withdrawn_keys[name] = ""
             customers.append(CustomerRow(name, keys, rate.per_s, rate.burst))
         connections = dict.fromkeys(self.services, LineService.max_connections)
-        self._write_to_store(configuration_put(version, _ROUTE_ROWS, connections, customers))
+        self._configuration = configuration_put(version, _ROUTE_ROWS, connections, customers)
+        self._write_to_store(self._configuration)
+
+    async def write_again(self, within_s: float) -> None:
+        """Write what operators and targets had written to a store that was restored.
+
+        :param within_s: time until the last of them writes.
+        """
+        self._write_to_store(self._configuration)
+        for target in self.targets:
+            await sleep_s(within_s / len(self.targets))
+            if target.is_up:
+                self.register(target)
+            else:
+                self._write_to_store(Delete(target_key(target.name)))
 
     async def crash(self, target: LineTarget, duration_s: float) -> None:
         """Stop a target abruptly and restart it after a time."""
--- a/libs/soak/src/pistachiowinch/soak/faults.py
+++ b/libs/soak/src/pistachiowinch/soak/faults.py
@@ -19,8 +19,10 @@
     "ScheduledFault",
     "SignalFault",
     "StoreFault",
+    "StoreRestoration",
     "TargetFault",
     "plan_faults",
+    "plan_restorations",
 ]
 
 # Faults last longer on average than the interval between them, so that they overlap.
@@ -39,6 +41,12 @@
 DAMAGED_TARGET_FAILURE_PROBABILITY = 0.5
 # Delay of each chunk on a delayed link; half of a heartbeat interval.
 CHUNK_DELAY_S = 0.1
+# Restorations: a copy is some seconds old, and the store is away for a moment.
+MEAN_RESTORATION_INTERVAL_S = 12.0
+MAX_COPY_AGE_S = 9.0
+MAX_RESTORATION_OUTAGE_S = 3.0
+# Operators and targets write again what a restored store has lost.
+MAX_REWRITE_DELAY_S = 1.5
 # Probability that a signal or store fault affects all hosts at once.
 ALL_HOSTS_PROBABILITY = 0.1
 
@@ -84,12 +92,23 @@
     duration_s: float
 
 
+@dataclass(frozen=True)
+class StoreRestoration:
+    """Copy the store, and bring it back from the copy after an outage.
+
+    :param copy_age_s: time from the copy to the outage.
+    """
+
+    copy_age_s: float
+    outage_s: float
+
+
 @dataclass(frozen=True)
 class ConfigurationChange:
     """Publish a new configuration version."""
 
 
-Fault = SignalFault | StoreFault | LinkFault | TargetFault | ConfigurationChange
+Fault = SignalFault | StoreFault | LinkFault | TargetFault | ConfigurationChange | StoreRestoration
 
 _SIGNALS = (signal.SIGKILL, signal.SIGTERM, signal.SIGSTOP, signal.SIGHUP)
 _STORE_MODES = ("busy", "silent", "slow", "down", "lost_replies", "forgets")
@@ -118,6 +137,26 @@
         at_s += generator.expovariate(1.0 / MEAN_INTERVAL_S)
 
 
+def plan_restorations(generator: random.Random, length_s: float) -> Iterator[ScheduledFault]:
+    """Choose the restorations of the store, which follow one another.
+
+    They have their own generator, so that they do not change the other faults of a seed.
+
+    :param length_s: time at which the last one has ended.
+    """
+    at_s = generator.uniform(0.0, MEAN_RESTORATION_INTERVAL_S / 2.0)
+    while True:
+        fault = StoreRestoration(
+            generator.uniform(0.5, MAX_COPY_AGE_S),
+            generator.uniform(0.2, MAX_RESTORATION_OUTAGE_S),
+        )
+        ends_s = at_s + fault.copy_age_s + fault.outage_s
+        if ends_s > length_s:
+            return
+        yield ScheduledFault(at_s, fault)
+        at_s = ends_s + generator.expovariate(1.0 / MEAN_RESTORATION_INTERVAL_S)
+
+
 def _choose_fault(generator: random.Random, hosts: int, targets: int, duration_s: float) -> Fault:
     kind = generator.choices(
         (SignalFault, StoreFault, LinkFault, TargetFault, ConfigurationChange)
@@ -183,6 +222,14 @@
                 await self._inject_target_fault(fault)
             case ConfigurationChange():
                 self._cluster.publish_configuration()
+            case StoreRestoration(copy_age_s, outage_s):
+                copy = self._cluster.store.copy()
+                await sleep_s(copy_age_s)
+                self._cluster.store.faults.is_down = True
+                await sleep_s(outage_s)
+                self._cluster.store.restore(copy)
+                self._cluster.store.faults.is_down = False
+                await self._cluster.write_again(MAX_REWRITE_DELAY_S)
 
     async def _inject_store_fault(
         self, hosts: tuple[int, ...], mode: str, duration_s: float
--- a/libs/soak/src/pistachiowinch/soak/main.py
+++ b/libs/soak/src/pistachiowinch/soak/main.py
@@ -29,6 +29,9 @@
     logs: Annotated[
         Path | None, typer.Option(help="Folder for the hosts' logs; a temporary one by default.")
     ] = None,
+    restores: Annotated[
+        bool, typer.Option(help="Also bring the store back from copies some seconds old.")
+    ] = False,
     as_json: Annotated[bool, typer.Option("--json", help="Print JSON for scripts.")] = False,
 ) -> None:
     """Run hosts as processes on loopback under random faults and check the promises to callers.
@@ -41,7 +44,9 @@
         run_folder = folder / f"seed-{number}"
         run_folder.mkdir(parents=True, exist_ok=True)
         size = ClusterSize(hosts, hosts <= MAX_HOSTS_WITH_FORWARDERS)
-        settings = SoakSettings(number, minutes * _S_PER_MIN, size, run_folder)
+        settings = SoakSettings(
+            number, minutes * _S_PER_MIN, size, run_folder, has_restorations=restores
+        )
         report = asyncio.run(run_soak(settings))
         has_findings |= bool(report.findings)
         typer.echo(json.dumps(_as_data(report)) if as_json else _as_text(report, run_folder))
--- a/libs/soak/src/pistachiowinch/soak/run.py
+++ b/libs/soak/src/pistachiowinch/soak/run.py
@@ -9,7 +9,7 @@
 from pistachiowinch.soak.callers import ANSWER_TIMEOUT_S, OPEN_TIMEOUT_S, Caller, OperationCounts
 from pistachiowinch.soak.checker import Finding
 from pistachiowinch.soak.cluster import CUSTOMERS, ROUTES, Cluster, ClusterSize
-from pistachiowinch.soak.faults import Injector, ScheduledFault, plan_faults
+from pistachiowinch.soak.faults import Injector, ScheduledFault, plan_faults, plan_restorations
 from pistachiowinch.soak.hosts import HOST_COMMAND
 from pistachiowinch.standins.line_caller import LineCaller, SessionBroken
 
@@ -33,6 +33,7 @@
     :param folder: folder for settings files and logs.
     :param command: command that runs a host.
     :param faults: faults to inject instead of those that the seed chooses.
+    :param has_restorations: whether the store is also restored from copies.
     """
 
     seed: int
@@ -41,6 +42,7 @@
     folder: Path
     command: Sequence[str] = HOST_COMMAND
     faults: tuple[ScheduledFault, ...] = ()
+    has_restorations: bool = False
 
 
 class Report(NamedTuple):
@@ -66,14 +68,7 @@
         settings.size, settings.folder, settings.command, random.Random(f"{settings.seed} site")
     )
     counts = OperationCounts()
-    faults = list(settings.faults) or list(
-        plan_faults(
-            random.Random(settings.seed),
-            settings.size.hosts,
-            len(cluster.targets),
-            settings.length_s,
-        )
-    )
+    faults = _plan(settings, len(cluster.targets))
     try:
         await cluster.start()
         _start_callers(cluster, counts, settings.seed)
@@ -88,6 +83,17 @@
     return Report(settings.seed, served, failed, len(faults), cluster.checker.runs, findings)
 
 
+def _plan(settings: SoakSettings, targets: int) -> list[ScheduledFault]:
+    """Return the faults in the order of their times."""
+    faults = list(settings.faults) or list(
+        plan_faults(random.Random(settings.seed), settings.size.hosts, targets, settings.length_s)
+    )
+    if settings.has_restorations:
+        generator = random.Random(f"{settings.seed} restorations")
+        faults.extend(plan_restorations(generator, settings.length_s))
+    return sorted(faults, key=lambda scheduled: scheduled.at_s)
+
+
 def _start_callers(cluster: Cluster, counts: OperationCounts, seed: int) -> None:
     for customer in CUSTOMERS:
         for number in range(CALLERS_PER_HOST * len(cluster.hosts)):
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -68,6 +68,14 @@
     assert report.served > 100 and report.faults > 3
 
 
+async def test_a_restored_store_breaks_no_promise(tmp_path):
+    """Guards against violations when the store comes back from copies, beside other faults."""
+    settings = SoakSettings(1, 20.0, ClusterSize(HOSTS), tmp_path, has_restorations=True)
+    report = await run_soak(settings)
+    assert not report.findings
+    assert report.served > 100
+
+
 @pytest.mark.parametrize(
     ("guard", "rules", "faults"),
     [
