--- a/libs/standins/src/pistachiowinch/standins/http_store.py
+++ b/libs/standins/src/pistachiowinch/standins/http_store.py
@@ -46,6 +46,7 @@
     :param translate: converts each value, such as an address, before it is sent to the client.
     :ivar error_status: HTTP status with which every call is refused; 0 for none.
     :ivar is_silent: whether calls take effect but get no response.
+    :ivar era_text: sent as the era instead of the store's own; empty for the store's own.
     """
 
     def __init__(
@@ -58,6 +59,7 @@
         self._runner: web.AppRunner | None = None
         self.error_status = 0
         self.is_silent = False
+        self.era_text = ""
         self.address = ""
 
     @property
@@ -88,7 +90,7 @@
     @web.middleware
     async def _state_era(self, request: web.Request, handler: Callable) -> web.StreamResponse:
         response = await handler(request)
-        response.headers["Store-Era"] = str(self._store.era)
+        response.headers["Store-Era"] = self.era_text or str(self._store.era)
         return response
 
     @web.middleware
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -159,3 +159,12 @@
         await store.transact([Compare("lock", first.revision)], [Put("other", b"x")])
     assert not (await store.transact([Compare("lock", first.revision)], [Put("o", b"x")])).succeeded
     assert stand_in.store.apply_get("o") is None
+
+
+@pytest.mark.parametrize("text", ["x", "-1", "1.5", 30 * "9"])
+async def test_an_unreadable_era_changes_nothing(store, stand_in, text):
+    """One malformed header must not end calls, nor make revisions that no message can carry."""
+    stand_in.put("a/1", b"x")
+    before = await store.read_prefix("a/")
+    stand_in.era_text = text
+    assert await store.read_prefix("a/") == before
