Model a restored store, and let a host that remembers nothing neither use nor prove a primary

Change: until the era's records are complete, such a host uses no primary, its heartbeats say that it is no witness, so that nobody's lease counts it, and it completes the records only after 3 s, when no host that remembers more has done so.

--- a/libs/entry/src/pistachiowinch/entry/host.py
+++ b/libs/entry/src/pistachiowinch/entry/host.py
@@ -160,9 +160,10 @@
         )
         self.primary_lease = PrimaryLease(
             lambda: self._voter_set.voters,
-            self._membership.contacts,
+            self._membership.witnesses,
             lambda: self._store_contact.as_of_s,
             lambda: self._record_repair.is_complete,
+            lambda: self._record_repair.is_forgetful,
         )
         self._record_repair = RecordRepair(
             self._store,
@@ -474,6 +475,7 @@
             prefix_revisions=(
                 self._changes.prefix_revisions() if self._voter_set.record is not None else None
             ),
+            is_witness=not self._record_repair.is_forgetful,
         )
 
     async def _drain(self, service: str, grace_s: float) -> bool:
--- a/libs/fleet/src/pistachiowinch/fleet/primary_lease.py
+++ b/libs/fleet/src/pistachiowinch/fleet/primary_lease.py
@@ -39,6 +39,7 @@
     :param store_as_of_s: returns the loop time as of which the store's records are known.
     :param is_store_complete: returns whether the store has all records that hosts have written; a
         restored one has lost some at first.
+    :param is_forgetful: returns whether this host may have known records that it has lost.
     """
 
     def __init__(
@@ -47,8 +48,10 @@
         contacts: Callable[[float], frozenset[str]],
         store_as_of_s: Callable[[], float],
         is_store_complete: Callable[[], bool] = lambda: True,
+        is_forgetful: Callable[[], bool] = lambda: False,
     ) -> None:
         """Create a lease from its sources of evidence."""
+        self._is_forgetful = is_forgetful
         self._is_store_complete = is_store_complete
         self._voters = voters
         self._contacts = contacts
@@ -64,5 +67,7 @@
     @property
     def is_valid(self) -> bool:
         """Whether work may be sent to a primary now."""
+        if self._is_forgetful():
+            return False
         is_store_fresh = now_s() - self._store_as_of_s() < PRIMARY_LEASE_S
         return (is_store_fresh and self._is_store_complete()) or self.has_majority
--- a/libs/fleet/src/pistachiowinch/fleet/record_repair.py
+++ b/libs/fleet/src/pistachiowinch/fleet/record_repair.py
@@ -2,9 +2,11 @@
 
 Hosts remember records that the copy lacks. Until one of them has written these, the copy proves
 nothing: it may name a primary that was replaced meanwhile. The record of the era states that the
-fleet's records are complete again.
+fleet's records are complete again. A host that started meanwhile remembers nothing and is called
+forgetful: it uses no primary, and its evidence counts for nobody.
 """
 
+import math
 from collections.abc import Callable
 
 from pistachiowinch.base.clock import now_s
@@ -24,8 +26,8 @@
 
 __all__ = ["RecordRepair"]
 
-# Without a majority of the voters, which knows every switch that can take effect, a host completes
-# the records by what it has heard in this time.
+# A majority of the voters knows every switch that can take effect. Without one, and if all hosts
+# have started anew, a host completes the records by what it has heard in this time.
 MAJORITY_WAIT_S = 3.0
 
 
@@ -64,6 +66,12 @@
         record = None if item is None else decode_record(item, EraRecord)
         return record is not None and record.era == self._follower.era
 
+    @property
+    def is_forgetful(self) -> bool:
+        """Whether this host has read the fleet's records only from an incomplete copy."""
+        has_memory = math.isfinite(self._follower.era_since_s)
+        return self._follower.is_loaded.is_set() and not has_memory and not self.is_complete
+
     async def check(self) -> None:
         """Write what the store lacks, if this host has heard from those that may know it."""
         if self.is_complete or self._follower.is_broken:
@@ -73,7 +81,8 @@
             self._incomplete_since_s = now_s()
         age_s = now_s() - max(self._incomplete_since_s, self._follower.era_since_s)
         # Evidence that counts for a majority is then younger than the era.
-        needed_s = PRIMARY_LEASE_S if self._has_majority() else MAJORITY_WAIT_S
+        may_know_all = self._has_majority() and not self.is_forgetful
+        needed_s = PRIMARY_LEASE_S if may_know_all else MAJORITY_WAIT_S
         if age_s <= needed_s:
             return
         try:
--- a/libs/peering/src/pistachiowinch/peering/membership.py
+++ b/libs/peering/src/pistachiowinch/peering/membership.py
@@ -184,6 +184,14 @@
         }
         return frozenset(fresh | {self._identity.host})
 
+    def witnesses(self, within_s: float) -> frozenset[str]:
+        """Return the contacts whose evidence counts for primary leases."""
+        return frozenset(
+            host
+            for host in self.contacts(within_s)
+            if host not in self._records or self._records[host].last.heartbeat.is_witness
+        )
+
     def set_members(
         self,
         members: Iterable[HostIdentity],
@@ -343,6 +351,7 @@
             heard=self._heard_hosts() if self._reports_hosts else (),
             config_pending=state.config_pending,
             prefix_revisions=state.prefix_revisions or {},
+            is_witness=state.is_witness,
         )
 
     def _heard_hosts(self) -> tuple[str, ...]:
--- a/libs/peering/src/pistachiowinch/peering/messages.py
+++ b/libs/peering/src/pistachiowinch/peering/messages.py
@@ -33,6 +33,8 @@
         accepted; if it is above ``config_version``, the sender does not confirm that version.
     :param prefix_revisions: for each store prefix that the sender can serve, the revision of the
         newest change in its copy.
+    :param is_witness: whether evidence from the sender counts for primary leases; false while it
+        knows only what a restored store has kept.
     """
 
     host: str
@@ -49,6 +51,7 @@
     heard: tuple[str, ...] = ()
     config_pending: int = 0
     prefix_revisions: dict[str, int] = {}
+    is_witness: bool = True
 
 
 class ShortHeartbeat(msgspec.Struct, tag="sh", array_like=True, frozen=True):
@@ -77,6 +80,7 @@
     primaries: dict[str, AnnouncedPrimary]
     config_pending: int = 0
     prefix_revisions: dict[str, int] | None = None
+    is_witness: bool = True
 
 
 class ReceivedHeartbeat(NamedTuple):
--- a/tests/fleet/test_record_repair.py
+++ b/tests/fleet/test_record_repair.py
@@ -35,11 +35,13 @@
         self.table = PrimaryTable(log)
         self.follower = PrefixFollower(store, FLEET_PREFIX, self._on_change, log)
         self.repair = RecordRepair(store, self.follower, self.table, lambda: self.has_majority, log)
+        self.contacts: frozenset[str] = frozenset()
         self.lease = PrimaryLease(
             lambda: frozenset("xyz"),
-            lambda within_s: frozenset(),
+            lambda within_s: self.contacts,
             lambda: self.follower.as_of_s,
             lambda: self.repair.is_complete,
+            lambda: self.repair.is_forgetful,
         )
         self.tasks = [
             asyncio.ensure_future(work) for work in (self.follower.run(), self._run_repair())
@@ -99,6 +101,7 @@
     await asyncio.sleep(0.2)
     assert starting.table.primary("s") == "a"
     assert not starting.lease.is_valid
+    assert not host.repair.is_forgetful
     await asyncio.sleep(PRIMARY_LEASE_S + 3 * CHECK_INTERVAL_S)
     assert starting.table.primary("s") == "b"
     put(store, "fleet/other", b"x")
@@ -128,3 +131,30 @@
     assert host.repair.is_complete
     assert store.calls["transact"] == 0
     host.close()
+
+
+async def test_a_host_that_remembers_nothing_uses_no_primary_though_it_hears_a_majority():
+    """STALE and ONE: found by the model; it may have acknowledged a switch and forgotten it."""
+    store, host = await restored()
+    await asyncio.sleep(0.1)
+    starting = Host(store)
+    starting.contacts = frozenset("xyz")
+    await asyncio.sleep(0.2)
+    assert starting.repair.is_forgetful
+    assert not starting.lease.is_valid
+    await asyncio.sleep(PRIMARY_LEASE_S + 3 * CHECK_INTERVAL_S)
+    assert starting.lease.is_valid
+    host.close()
+    starting.close()
+
+
+async def test_a_host_that_remembers_nothing_does_not_complete_the_records():
+    """STALE: found by the model; hosts would trust a store that lacks the newest switch."""
+    store, host = await restored()
+    host.close()
+    starting = Host(store)
+    await asyncio.sleep(PRIMARY_LEASE_S + 3 * CHECK_INTERVAL_S)
+    assert not starting.repair.is_complete
+    await asyncio.sleep(MAJORITY_WAIT_S)
+    assert starting.repair.is_complete
+    starting.close()
--- a/tests/model/test_checker.py
+++ b/tests/model/test_checker.py
@@ -12,6 +12,7 @@
 from pistachiowinch.model.escrow import EscrowGuard, EscrowSpecification
 from pistachiowinch.model.ledger import LedgerGuard, LedgerSpecification
 from pistachiowinch.model.promotion import PromotionGuard, PromotionSpecification
+from pistachiowinch.model.restoration import RestorationGuard, RestorationSpecification
 from pistachiowinch.model.switchover import SwitchoverGuard, SwitchoverSpecification
 from pistachiowinch.model.voter_set import VoterSetGuard, VoterSetSpecification
 
@@ -27,6 +28,7 @@
     _Case(EscrowSpecification(), 16),
     _Case(SwitchoverSpecification(), 15),
     _Case(VoterSetSpecification(), 15),
+    _Case(RestorationSpecification(), 16),
 ]
 
 # Depths within which a violation exists; the number of terms is reduced where two suffice.
@@ -49,6 +51,7 @@
     *(_Case(EscrowSpecification(guard), 16) for guard in EscrowGuard),
     *(_Case(SwitchoverSpecification(guard), 14) for guard in SwitchoverGuard),
     *(_Case(VoterSetSpecification(guard), 14) for guard in VoterSetGuard),
+    *(_Case(RestorationSpecification(guard), 14) for guard in RestorationGuard),
 ]
 
 
--- a/tests/peering/test_membership.py
+++ b/tests/peering/test_membership.py
@@ -99,6 +99,18 @@
     assert a.suspected_hosts == frozenset() and a.contacts(0.5) == {"a", "b", "c"}
 
 
+@with_site
+async def test_a_host_that_is_no_witness_is_heard_but_extends_no_lease(site):
+    """ONE: found by the model; a started host may have forgotten a switch that it acknowledged."""
+    a = site.members["a"]
+    site.members["b"]._local_state = lambda: STATE._replace(is_witness=False)
+    await sleep_s(1.0)
+    assert a.contacts(0.5) == {"a", "b", "c"} and a.witnesses(0.5) == {"a", "c"}
+    site.members["b"]._local_state = lambda: STATE
+    await sleep_s(1.0)
+    assert a.witnesses(0.5) == {"a", "b", "c"}
+
+
 @with_site
 async def test_delayed_heartbeats_are_accepted_but_are_not_fresh_evidence(site):
     a = site.members["a"]
