Registry and follower: plainer names for what stands against a restored store

No change of behaviour: is_era_recent says what is_rewriting meant, _differs_from_store covers kept and outdated entries, and the test of an outdated entry is a function of its own.

--- a/libs/entry/src/pistachiowinch/entry/host.py
+++ b/libs/entry/src/pistachiowinch/entry/host.py
@@ -409,7 +409,7 @@
         prefix = self._documents.evacuations_prefix
         items = self._operators_follower.items
         zones = frozenset(key.removeprefix(prefix) for key in items if key.startswith(prefix))
-        if self._operators_follower.is_rewriting(REREGISTRATION_WAIT_S):
+        if self._operators_follower.is_era_recent(REREGISTRATION_WAIT_S):
             zones |= self.view.evacuated
         self.view.set_evacuated(zones)
 
--- a/libs/entry/src/pistachiowinch/entry/registry.py
+++ b/libs/entry/src/pistachiowinch/entry/registry.py
@@ -53,7 +53,7 @@
         self._health = health
         self._primaries = primaries
         self._log = log
-        self._has_missing = False
+        self._differs_from_store = False
         self._removed: dict[str, tuple[Target, float]] = {}
         self.follower = PrefixFollower(
             store, documents.targets_prefix, self._on_change, log, batch_delay_s, True
@@ -61,7 +61,7 @@
 
     def drop_missing(self) -> None:
         """Drop targets whose entries were not written again after an outage or a restore."""
-        if self._has_missing and self._is_settled:
+        if self._differs_from_store and self._is_settled:
             self._apply(self._decode_entries(()))
 
     @property
@@ -88,15 +88,15 @@
     def _apply(self, found: dict[str, Target]) -> None:
         """Apply the targets; keep missing ones until the store has been back for a while."""
         known = targets_by_name(self._view)
-        self._has_missing = False
-        if self.follower.is_rewriting(REREGISTRATION_WAIT_S):
+        self._differs_from_store = False
+        if self.follower.is_era_recent(REREGISTRATION_WAIT_S):
             found = self._without_outdated(found, known)
         missing = {name: target for name, target in known.items() if name not in found}
         if missing and not self._is_settled:
             # A missing target whose address belongs to another target now was replaced.
             taken = {target.address for target in found.values()}
             kept = {name: t for name, t in missing.items() if t.address not in taken}
-            self._has_missing |= bool(kept)
+            self._differs_from_store |= bool(kept)
             found = found | kept
         self._remember_removed({n: t for n, t in missing.items() if n not in found})
         self._view.set_targets(found.values())
@@ -114,17 +114,18 @@
 
         Targets that were removed after the copy was made are left out.
         """
-        current: dict[str, Target] = {}
-        for name, target in found.items():
-            removed = self._removed.get(name)
-            if name in known and target.is_older_than(known[name]):
-                current[name] = known[name]
-            elif name in known or removed is None or removed[0].is_older_than(target):
-                current[name] = target
-                continue
-            self._has_missing = True
-            self._log.write("entry_outdated", target=name, sequence=target.sequence)
-        return current
+        outdated = {name for name, target in found.items() if self._is_outdated(target, known)}
+        for name in sorted(outdated):
+            self._log.write("entry_outdated", target=name, sequence=found[name].sequence)
+        self._differs_from_store = bool(outdated)
+        current = {name: target for name, target in found.items() if name not in outdated}
+        return current | {name: known[name] for name in outdated & known.keys()}
+
+    def _is_outdated(self, target: Target, known: Mapping[str, Target]) -> bool:
+        if target.name in known:
+            return target.is_older_than(known[target.name])
+        removed = self._removed.get(target.name)
+        return removed is not None and not removed[0].is_older_than(target)
 
     def _remember_removed(self, removed: Mapping[str, Target]) -> None:
         oldest_s = now_s() - REMOVED_MEMORY_S
--- a/libs/fleet/src/pistachiowinch/fleet/following.py
+++ b/libs/fleet/src/pistachiowinch/fleet/following.py
@@ -86,12 +86,12 @@
             return -1
         return self._recent_changes[-1][0] if self._recent_changes else self._kept_after_revision
 
-    def is_rewriting(self, wait_s: float) -> bool:
-        """Return whether the store's other writers may not have restored what it lost.
+    def is_era_recent(self, within_s: float) -> bool:
+        """Return whether an era began less than ``within_s`` seconds ago.
 
-        :param wait_s: time that they take after the beginning of an era.
+        Other writers may then not have written again what the store has lost.
         """
-        return now_s() - self.era_since_s < wait_s
+        return now_s() - self.era_since_s < within_s
 
     def changes_after(self, revision: int) -> tuple[WatchEvent, ...] | None:
         """Return the current state of all keys that changed after a revision, oldest change first.
--- a/libs/fleet/src/pistachiowinch/fleet/promotion_lock.py
+++ b/libs/fleet/src/pistachiowinch/fleet/promotion_lock.py
@@ -131,7 +131,7 @@
         if self._records is None:
             return False
         is_unread = era != self._records.era
-        may_be_held = is_unread or now_s() - self._records.era_since_s < LOCK_LEASE_S
+        may_be_held = is_unread or self._records.is_era_recent(LOCK_LEASE_S)
         if may_be_held:
             self._log.write("duty_waits_for_lost_lock", era=era, read=self._records.era)
         return may_be_held
