--- a/review/harness/deployment.py
+++ b/review/harness/deployment.py
@@ -1,8 +1,10 @@
 """A small deployment on loopback: the host program as processes, and stand-ins for the rest."""
 
 import asyncio
+import contextlib
 import json
 import os
+import random
 import shlex
 import signal
 import socket
@@ -30,7 +32,7 @@
 PING_S = 1.2
 # An entry is removed after three ping intervals of silence.
 ENTRY_REMOVED_S = 3 * PING_S
-_RESTART_DELAY_S = 0.5
+PORTS = (10_000, 30_000)
 # Bounds of the small site files.
 BOUNDS = {
     "seedLagS": 3,
@@ -452,9 +454,15 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports on loopback that nobody uses now."""
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [entry.getsockname()[1] for entry in sockets]
-    for entry in sockets:
-        entry.close()
-    return ports
+    """Return ports on loopback that nobody uses now.
+
+    They lie below the range from which the kernel takes ports for connections, so that none of them
+    is taken before a host listens there.
+    """
+    found: list[int] = []
+    while len(found) < count:
+        port = random.SystemRandom().randrange(*PORTS)
+        with contextlib.suppress(OSError), socket.create_server(("127.0.0.1", port)):
+            if port not in found:
+                found.append(port)
+    return found
