Answer what callers have sent before the end of a planned stop

Cause: the daemon closed all sessions at a fixed moment, whatever they did, and statements were sent with the time limit of their route though the host ended before. Ruled out: answers that were written and cut off by the end of the process (log: nothing had been written).

Change: from the stop signal on no target is waited for beyond answers_by_s; what runs then is refused with ABORTED, or INDOUBT for a COMMIT. After the first half of the time a statement is sent only if its route's limit ends before that; a transaction that can only fail is rolled back at once. Sessions are closed only with nothing in progress and nothing unread.

Found by the test: a transaction that was aborted while its caller was idle (idle limit, switch, stop) was refused with MALFORMED, which promises nothing; now with ABORTED.

--- a/libs/entry/src/pistachiowinch/entry/callers.py
+++ b/libs/entry/src/pistachiowinch/entry/callers.py
@@ -113,10 +113,10 @@
     def can_close(self) -> bool:
         """Whether the connection can be closed without interrupting a statement or transaction."""
         is_idle = self.session is not None and self.session.is_idle
-        return self.is_waiting and is_idle and not self._has_unread
+        return self.is_waiting and is_idle and not self.has_unread
 
     @property
-    def _has_unread(self) -> bool:
+    def has_unread(self) -> bool:
         """Whether a part of a message has arrived, also in the kernel's buffer.
 
         Closing a connection with unread bytes resets it, and the caller gets no answer.
@@ -179,6 +179,20 @@
             if caller.can_close:
                 caller.writer.close()
 
+    def end_hopeless_transactions(self) -> None:
+        """Abort the transactions of idle callers that the host's stop leaves no time for."""
+        for caller in self._callers:
+            if caller.is_waiting and caller.session is not None:
+                caller.session.end_hopeless_transaction()
+
+    def close_waiting(self) -> None:
+        """Close the sessions without a statement in progress; open transactions are rolled back."""
+        for caller in tuple(self._callers):
+            if caller.is_waiting and not caller.has_unread:
+                if caller.session is not None:
+                    caller.session.close()
+                caller.writer.close()
+
     def close_all(self) -> None:
         """Close every session."""
         for caller in tuple(self._callers):
@@ -224,8 +238,10 @@
         self._log.write("caller_lost", cause=type(error).__name__)
 
     async def _run_session(self, caller: _Caller) -> None:
+        caller.is_waiting = True
         async with asyncio.timeout(FIRST_LINE_TIMEOUT_S):
             line = await self._read_line(caller)
+        caller.is_waiting = False
         await self._wait_for_configuration()
         if not self._open_session(caller, line):
             return
--- a/libs/entry/src/pistachiowinch/entry/daemon.py
+++ b/libs/entry/src/pistachiowinch/entry/daemon.py
@@ -9,6 +9,7 @@
 from pistachiowinch.base.decisions import DecisionLog
 from pistachiowinch.entry.callers import CallerServer
 from pistachiowinch.entry.host import Host
+from pistachiowinch.sessions.shutdown import Shutdown
 
 __all__ = ["Daemon"]
 
@@ -18,11 +19,17 @@
 LEAVE_ROTATION_S = 2.3
 # Maximum part of the shutdown time for leaving the rotation; the rest is for closing sessions.
 LEAVE_ROTATION_FRACTION = 1.0 / 3.0
-# Returning borrowed rate tokens and leaving the fleet take a few store calls with a timeout of 1 s
-# each.
+# Part of the shutdown time in which open transactions may end in any case.
+TRANSACTION_FRACTION = 0.5
+# The last answers, the return of borrowed rate tokens and a few store calls, with a timeout of 1 s
+# each, before the process is killed.
 EXIT_MARGIN_S = 0.8
-# A session is closed at most this long after its last operation.
+MAX_EXIT_MARGIN_FRACTION = 1.0 / 6.0
+# Part of that margin in which the last answers must have been sent.
+LAST_ANSWERS_FRACTION = 0.5
+# A session is closed at most this long after its last operation, and after the last answers.
 STOP_POLL_INTERVAL_S = 0.1
+LAST_ANSWERS_POLL_INTERVAL_S = 0.02
 # Short compared with the idle timeout of transactions, which is 3 s.
 IDLE_CHECK_INTERVAL_S = 0.1
 
@@ -96,16 +103,29 @@
                 self._callers.close_idle()
 
     async def _shut_down(self) -> None:
-        """Leave the load balancer's rotation, then close each session once it is idle."""
+        """Leave the load balancer's rotation, then close each session once it is idle.
+
+        What callers have sent is answered before the end: targets have until ``answers_by_s``, and
+        then each statement that still runs is refused with what is known about it.
+        """
         started_s = now_s()
         within_s = self._stop_within_s
+        margin_s = min(EXIT_MARGIN_S, within_s * MAX_EXIT_MARGIN_FRACTION)
+        answers_by_s = started_s + within_s - margin_s
+        self._host.session_context.shutdown = Shutdown(
+            started_s + within_s * TRANSACTION_FRACTION, answers_by_s
+        )
         self._log.write("stopping", sessions=self._callers.count, within_s=within_s)
         await sleep_s(min(LEAVE_ROTATION_S, within_s * LEAVE_ROTATION_FRACTION))
         self._callers.stop_listening()
         self._host.session_context.is_stopping = True
-        while self._callers.count and now_s() - started_s < within_s - EXIT_MARGIN_S:
+        while self._callers.count and now_s() < answers_by_s:
+            self._callers.end_hopeless_transactions()
             self._callers.close_idle()
-            await sleep_s(STOP_POLL_INTERVAL_S)
+            await sleep_s(min(STOP_POLL_INTERVAL_S, answers_by_s - now_s()))
+        while self._callers.count and now_s() < answers_by_s + margin_s * LAST_ANSWERS_FRACTION:
+            self._callers.close_waiting()
+            await sleep_s(LAST_ANSWERS_POLL_INTERVAL_S)
         self._log.write("sessions_closed", left=self._callers.count)
         self._callers.close_all()
         await self._host.leave()
--- a/libs/sessions/src/pistachiowinch/sessions/autocommit.py
+++ b/libs/sessions/src/pistachiowinch/sessions/autocommit.py
@@ -27,7 +27,7 @@
 
     :returns: the target's answer, or the reason why there is none.
     """
-    deadline_s = operation.started_s + operation.route.timeout_s
+    deadline_s = context.shutdown.deadline_s(operation.started_s, operation.route.timeout_s)
     must_be_primary = work.is_write or operation.needs_primary
     excluded: set[str] = set()
     for attempt in range(MAX_ATTEMPTS):
--- a/libs/sessions/src/pistachiowinch/sessions/context.py
+++ b/libs/sessions/src/pistachiowinch/sessions/context.py
@@ -14,6 +14,7 @@
 from pistachiowinch.sessions.health import TargetHealth
 from pistachiowinch.sessions.outages import ServiceOutages
 from pistachiowinch.sessions.primary_work import PrimaryWork
+from pistachiowinch.sessions.shutdown import NO_SHUTDOWN, Shutdown
 from pistachiowinch.sessions.site import SiteView
 
 __all__ = ["PrimaryView", "RateLimiter", "SessionContext"]
@@ -48,6 +49,7 @@
 
     :param has_lease: returns whether this host holds a valid lease on its view of the primaries.
     :param is_stopping: whether the host refuses new operations.
+    :param shutdown: limits of statements after a stop signal.
     :param is_outdated: returns whether a newer configuration is in force that this host lacks.
     """
 
@@ -62,6 +64,7 @@
     log: DecisionLog
     availability_zone: str
     is_stopping: bool = False
+    shutdown: Shutdown = NO_SHUTDOWN
     is_outdated: Callable[[], bool] = lambda: False
     outages: ServiceOutages = field(default_factory=ServiceOutages)
     freshness: dict[str, FreshnessLog] = field(default_factory=dict)
--- a/libs/sessions/src/pistachiowinch/sessions/exchanges.py
+++ b/libs/sessions/src/pistachiowinch/sessions/exchanges.py
@@ -53,6 +53,8 @@
         if borrowed.is_primary and not _is_still_primary(context, borrowed):
             return Interrupted(False, "the primary changed")
         sent_s = now_s()
+        if sent_s >= deadline_s:
+            return Interrupted(False, "no time was left")
         operation.rate_token.is_spent = True
         outcome = await pooled.connection.run(
             work.request_id, work.statement, min_position, remaining_s(deadline_s)
@@ -102,6 +104,9 @@
             context.connections.pause(pooled.target, BUSY_PAUSE_S)
         case Refused():
             context.health.note_alive(target)
+        case Interrupted() if now_s() >= context.shutdown.answers_by_s:
+            # This host's stop cut the wait short, which says nothing about the target.
+            pass
         case Interrupted(_, cause):
             context.health.note_failure(target, cause)
             context.connections.close_idle(target, "silent")
--- a/libs/sessions/src/pistachiowinch/sessions/session.py
+++ b/libs/sessions/src/pistachiowinch/sessions/session.py
@@ -63,6 +63,7 @@
         self._key = key
         self._state = CallerState()
         self._transaction: Transaction | None = None
+        self._is_failure_known = False
         self._tasks: set[asyncio.Task] = set()
 
     @property
@@ -105,6 +106,8 @@
         """
         started_s = now_s()
         reply = await self._execute(request_id, statement, size_bytes, started_s)
+        # The state that goes with the reply tells the caller.
+        self._is_failure_known = self.state == TransactionState.FAILED
         self._log(request_id, statement, reply, started_s)
         return reply
 
@@ -114,6 +117,11 @@
         if transaction is not None and now_s() - transaction.last_used_s > idle_s:
             transaction.abort("the transaction was idle for too long")
 
+    def end_hopeless_transaction(self) -> None:
+        """Abort the transaction if the host stops too soon for its next statement."""
+        if self._transaction is not None:
+            self._transaction.abort_if_hopeless()
+
     def close(self) -> None:
         """End the session; an open transaction is rolled back."""
         if self._transaction is not None:
@@ -126,6 +134,8 @@
         if size_bytes > self._context.view.configuration.max_statement_bytes:
             return self._refuse(STATEMENT_TOO_LARGE, "the statement is too large")
         if self.state == TransactionState.FAILED and not isinstance(statement, Commit | Rollback):
+            if not self._is_failure_known:
+                return self._transaction.refuse_failed()
             return self._refuse(STATEMENT_NOT_SUPPORTED, "the transaction failed; roll it back")
         match statement:
             case SetValue() | Prepare() | Deallocate():
@@ -165,7 +175,8 @@
         operation = Operation(route, customer, self._state, started_s, RateToken())
         if customer == ANONYMOUS_CUSTOMER or self._context.rates.try_acquire(customer):
             return operation
-        deadline_s = started_s + route.target_latency_s * RATE_WAIT_FRACTION
+        wait_s = route.target_latency_s * RATE_WAIT_FRACTION
+        deadline_s = self._context.shutdown.deadline_s(started_s, wait_s)
         match await self._context.rates.acquire(customer, deadline_s):
             case Failure(refusal):
                 return refusal
--- a/libs/sessions/src/pistachiowinch/sessions/transactions.py
+++ b/libs/sessions/src/pistachiowinch/sessions/transactions.py
@@ -25,6 +25,8 @@
 
 __all__ = ["Transaction"]
 
+_HOST_STOPS = "this host stops, and the answer might come too late"
+
 # A rollback takes a round trip; after this time the connection is closed instead.
 ROLLBACK_TIMEOUT_S = 0.5
 
@@ -52,10 +54,22 @@
         """Whether the transaction can only be rolled back."""
         return bool(self._abort_cause)
 
+    @property
+    def is_hopeless(self) -> bool:
+        """Whether the host stops too soon for the answer to another statement."""
+        return not self._context.shutdown.may_send(self.operation.route.timeout_s)
+
+    def abort_if_hopeless(self) -> None:
+        """Abort the transaction, which frees its target's connection, if it can only fail."""
+        if self.is_hopeless:
+            self.abort(_HOST_STOPS)
+
     async def run(self, work: Work) -> Reply:
         """Run one statement; any failure aborts the transaction."""
         self.last_used_s = now_s()
-        deadline_s = now_s() + self.operation.route.timeout_s
+        if self.is_hopeless:
+            return self._fail(_HOST_STOPS)
+        deadline_s = self._context.shutdown.deadline_s(now_s(), self.operation.route.timeout_s)
         refusal = await self._ensure_begun(deadline_s)
         if refusal is not None:
             return refusal
@@ -70,7 +84,9 @@
 
     async def commit(self, request_id: str, commit: Commit) -> Reply:
         """Commit the transaction, which ends it whatever the outcome."""
-        deadline_s = now_s() + self.operation.route.timeout_s
+        if self.is_hopeless:
+            return self._fail(_HOST_STOPS)
+        deadline_s = self._context.shutdown.deadline_s(now_s(), self.operation.route.timeout_s)
         refusal = await self._ensure_begun(deadline_s)
         if refusal is not None:
             return refusal
@@ -112,6 +128,10 @@
             self._borrowed.pooled.connection.close()
             self._finish()
 
+    def refuse_failed(self) -> Refusal:
+        """Tell the caller that the transaction was aborted while it sent nothing."""
+        return self._refuse_aborted(self._abort_cause)
+
     async def _ensure_begun(self, deadline_s: float) -> Refusal | None:
         if self._abort_cause:
             return self._refuse_aborted(self._abort_cause)
--- a/libs/soak/src/pistachiowinch/soak/callers.py
+++ b/libs/soak/src/pistachiowinch/soak/callers.py
@@ -1,13 +1,14 @@
 """Simulated callers that run operations in sessions and report the results to the checker."""
 
+import functools
 import itertools
 import random
 from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
-from pistachiowinch.base.clock import sleep_s
+from pistachiowinch.base.clock import now_s, sleep_s
 from pistachiowinch.soak.checker import Attempt, Checker
-from pistachiowinch.standins.line_caller import LineCaller, SessionBroken
+from pistachiowinch.standins.line_caller import ConnectionEnded, LineCaller, SessionBroken
 
 __all__ = ["ANSWER_TIMEOUT_S", "OPEN_TIMEOUT_S", "Caller", "CallerRoute", "OperationCounts"]
 
@@ -16,6 +17,10 @@
 ANSWER_TIMEOUT_S = 5.0
 # Callers of the platform also wait before they reconnect after a failure.
 RECONNECT_DELAY_S = 0.2
+# Long transactions outlast the time that a host has to stop.
+LONG_TRANSACTION_PROBABILITY = 0.3
+MAX_LONG_STATEMENTS, MAX_LONG_PAUSE_S = 12, 0.5
+MAX_SHORT_STATEMENTS, MAX_SHORT_PAUSE_S = 4, 0.05
 # Long sessions are exposed to more faults.
 MAX_SESSION_OPERATIONS = 40
 _ITEM_COUNT = 50
@@ -58,8 +63,14 @@
     _numbers = itertools.count(1)
 
     def __init__(
-        self, checker: Checker, route: CallerRoute, customer: str, generator: random.Random
+        self,
+        checker: Checker,
+        route: CallerRoute,
+        customer: str,
+        generator: random.Random,
+        is_only_stopping: Callable[[float], bool],
     ) -> None:
+        self._is_only_stopping = is_only_stopping
         self.number = next(self._numbers)
         self._checker = checker
         self._route = route
@@ -117,7 +128,13 @@
         self._checker.on_send(attempt)
         if text.startswith("WRITE"):
             self._write_request_ids.append(request_id)
-        rows, receipt = await self._send(text, request_id)
+        sent_s = now_s()
+        try:
+            rows, receipt = await self._send(text, request_id)
+        except ConnectionEnded:
+            is_only_stopping = self._is_only_stopping(sent_s)
+            self._checker.on_unanswered(request_id, now_s() - sent_s, is_only_stopping)
+            raise
         self._checker.on_success(request_id, rows, receipt)
 
     def _required_positions(self) -> tuple:
@@ -143,6 +160,8 @@
     """A caller that opens one session after another, each with a random host.
 
     :param addresses: addresses for callers, by host name.
+    :param is_only_stopping: returns whether a host has been asked to stop, and not been disturbed
+        otherwise, since shortly before a time.
     :param newest_key: returns the customer's newest key.
     :param pause_s: mean pause between operations.
     """
@@ -152,6 +171,7 @@
         checker: Checker,
         operation_counts: OperationCounts,
         addresses: dict[str, tuple[str, int]],
+        is_only_stopping: Callable[[str, float], bool],
         routes: Sequence[CallerRoute],
         customer: str,
         newest_key: Callable[[], str],
@@ -162,6 +182,7 @@
         self._checker = checker
         self._operation_counts = operation_counts
         self._addresses = addresses
+        self._is_only_stopping = is_only_stopping
         self._routes = routes
         self._customer = customer
         self._newest_key = newest_key
@@ -173,7 +194,13 @@
         while True:
             host = self._generator.choice(sorted(self._addresses))
             route = self._generator.choice(self._routes)
-            session = _Session(self._checker, route, self._customer, self._generator)
+            session = _Session(
+                self._checker,
+                route,
+                self._customer,
+                self._generator,
+                functools.partial(self._is_only_stopping, host),
+            )
             try:
                 await session.open(self._addresses[host], self._newest_key())
                 await self._run_session(session, host)
@@ -204,12 +231,15 @@
         else:
             is_read_only = choice < 0.8
             await session.begin(is_read_only)
-            for _ in range(self._generator.randint(1, 4)):
+            max_statements, max_pause_s = MAX_SHORT_STATEMENTS, MAX_SHORT_PAUSE_S
+            if self._generator.random() < LONG_TRANSACTION_PROBABILITY:
+                max_statements, max_pause_s = MAX_LONG_STATEMENTS, MAX_LONG_PAUSE_S
+            for _ in range(self._generator.randint(1, max_statements)):
                 is_read = is_read_only or self._generator.random() < 0.5
                 await session.execute(
                     f"READ {self._random_item()}" if is_read else self._random_write()
                 )
-                await sleep_s(self._generator.uniform(0.0, 0.05))
+                await sleep_s(self._generator.uniform(0.0, max_pause_s))
             await session.commit()
 
     def _random_item(self) -> str:
--- a/libs/soak/src/pistachiowinch/soak/checker.py
+++ b/libs/soak/src/pistachiowinch/soak/checker.py
@@ -18,6 +18,8 @@
 NO_EFFECT_CODES = frozenset({"BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "TOOMANY"})
 # The platform's rules excuse a late commit this soon after a disturbance of the host.
 DISTURBANCE_ALLOWANCE_S = 0.3
+# The platform's rules excuse a statement that was cut off this soon after it was sent.
+UNANSWERED_ALLOWANCE_S = 0.2
 # Measuring window and tolerances of a customer's rate, as the platform's rules define them.
 RATE_WINDOW_S = 5.0
 RATE_TOLERANCE_RATIO = 0.1
@@ -118,6 +120,7 @@
         self._commits: dict[str, tuple[str, Commit]] = {}
         self._committed_positions: dict[str, Position] = {}
         self._refused_ids: set[str] = set()
+        self._executed_ids: set[str] = set()
         self._acknowledged_positions: dict[str, _PositionHistory] = {}
         self._own_positions: dict[tuple[str, int], _PositionHistory] = {}
         self._primaries: dict[str, str] = {}
@@ -175,6 +178,19 @@
         own = self._own_positions.setdefault((service, attempt.session), _PositionHistory())
         own.add(commit.position)
 
+    def on_unanswered(self, request_id: str, age_s: float, is_only_stopping: bool) -> None:
+        """Check a statement whose connection the host ended without an answer.
+
+        :param age_s: time since the statement was sent.
+        :param is_only_stopping: whether the host was asked to stop and not disturbed otherwise.
+        """
+        is_passed_on = request_id in self._executed_ids
+        if is_only_stopping and (is_passed_on or age_s > UNANSWERED_ALLOWANCE_S):
+            text = self._attempts[request_id].text
+            passed_on = "passed on" if is_passed_on else "not passed on"
+            detail = f"{request_id} {text[:30]!r} after {age_s:.2f} s, {passed_on}"
+            self.report("LOST", f"a planned stop cut off {detail}")
+
     def on_error(self, request_id: str, code: str, write_request_ids: tuple[str, ...]) -> None:
         """Check an error reply.
 
@@ -192,6 +208,7 @@
     def on_execution(self, execution: Execution) -> None:
         """Check a statement that a target executed."""
         self.runs += 1
+        self._executed_ids.add(execution.request_id)
         self._executions[execution.receipt] = execution
         attempt = self._attempts.get(execution.request_id)
         if attempt is None or not _is_same_text(attempt.text, execution.text):
--- a/libs/soak/src/pistachiowinch/soak/cluster.py
+++ b/libs/soak/src/pistachiowinch/soak/cluster.py
@@ -140,6 +140,11 @@
         """Addresses for callers, by host name."""
         return {h.name: (self.network.host_ip(h.number), CALLERS_PORT) for h in self.hosts}
 
+    def is_only_stopping(self, name: str, since_s: float) -> bool:
+        """Return whether a host has been asked to stop, and not been disturbed otherwise."""
+        host = next(host for host in self.hosts if host.name == name)
+        return host.is_only_stopping(since_s)
+
     async def start(self) -> None:
         """Start the store, targets, forwarders and host processes."""
         for number, server in enumerate(self.store_servers):
--- a/libs/soak/src/pistachiowinch/soak/faults.py
+++ b/libs/soak/src/pistachiowinch/soak/faults.py
@@ -273,7 +273,7 @@
         while now_s() < until_s:
             if is_to_targets:
                 # Delayed statements can reach the targets until the fault ends.
-                self._cluster.hosts[host].last_disturbed_s = now_s()
+                self._cluster.hosts[host].note_disturbance()
             await sleep_s(min(DISTURBANCE_UPDATE_S, until_s - now_s()))
         for forwarder in affected:
             forwarder.is_outbound_cut = forwarder.is_inbound_cut = False
--- a/libs/soak/src/pistachiowinch/soak/hosts.py
+++ b/libs/soak/src/pistachiowinch/soak/hosts.py
@@ -1,6 +1,7 @@
 """Host processes: start, signal, monitor and restart them."""
 
 import asyncio
+import math
 import os
 import signal
 import sys
@@ -29,6 +30,10 @@
 # A process that waited longer than this for a CPU within two samples counts as disturbed: a
 # promotion allows this much time between a host's check of its primary lease and its statement.
 SLOWED_CPU_WAIT_S = PRIMARY_LEASE_MARGIN_S
+# A planned stop is judged until this long after the time that the settings give it.
+EXIT_ALLOWANCE_S = 1.0
+# A statement counts as undisturbed if the last disturbance ended this long before it was sent.
+UNDISTURBED_S = 0.5
 _NS_PER_S = 1e9
 
 
@@ -42,6 +47,8 @@
     :param on_unexpected_exit: called with the exit status if the process ends without a SIGKILL
         or SIGTERM from :meth:`send_signal`.
     :ivar last_disturbed_s: loop time of the last start, signal, pause or long wait for a CPU.
+    :ivar last_unplanned_s: the same without signals that ask the process to stop or to reload.
+    :ivar stop_signal_s: loop time of the last signal that asked the process to stop.
     """
 
     def __init__(
@@ -55,12 +62,14 @@
         """Write the settings file; :meth:`run` starts the process."""
         self.number = number
         self.name = row.host
-        self.last_disturbed_s = 0.0
+        self.last_disturbed_s = self.last_unplanned_s = 0.0
+        self.stop_signal_s = -math.inf
         self._command = command
         self._on_unexpected_exit = on_unexpected_exit
         self._process: asyncio.subprocess.Process | None = None
         self._is_exit_expected = False
         self._is_paused = False
+        self._stop_within_s = row.stop_within_s
         self._settings_path = folder / f"{self.name}.json"
         self._settings_path.write_bytes(settings_bytes(row))
         self._log_path = folder / f"{self.name}.log"
@@ -78,7 +87,8 @@
         }
         with self._log_path.open("ab") as log:
             while True:
-                self.last_disturbed_s = started_s = now_s()
+                started_s = now_s()
+                self.note_disturbance()
                 self._is_exit_expected = self._is_paused = False
                 self._process = await asyncio.create_subprocess_exec(
                     *self._command, stdout=log, stderr=log, env=environment
@@ -94,11 +104,27 @@
         if not self.is_running:
             return
         self.last_disturbed_s = now_s()
+        if signal_number == signal.SIGTERM:
+            self.stop_signal_s = now_s()
+        elif signal_number != signal.SIGHUP:
+            self.note_disturbance()
         self._is_exit_expected |= signal_number in (signal.SIGKILL, signal.SIGTERM)
         if signal_number in (signal.SIGSTOP, signal.SIGCONT):
             self._is_paused = signal_number == signal.SIGSTOP
         self._process.send_signal(signal_number)
 
+    def note_disturbance(self) -> None:
+        """Record a disturbance of the process or its links that nobody planned."""
+        self.last_disturbed_s = self.last_unplanned_s = now_s()
+
+    def is_only_stopping(self, since_s: float) -> bool:
+        """Return whether the process was asked to stop, and nothing else has disturbed it.
+
+        :param since_s: start of a caller's statement.
+        """
+        is_stopping = now_s() - self.stop_signal_s < self._stop_within_s + EXIT_ALLOWANCE_S
+        return is_stopping and self.last_unplanned_s < since_s - UNDISTURBED_S
+
     async def kill(self) -> None:
         """Kill the process and wait for it; :meth:`run` must have been cancelled."""
         self.send_signal(signal.SIGKILL)
@@ -114,7 +140,7 @@
                 await asyncio.wait({exited}, timeout=CPU_WAIT_SAMPLE_S)
                 cpu_waits_s = (*cpu_waits_s[1:], _cpu_wait_s(process.pid))
                 if self._is_paused or cpu_waits_s[2] - cpu_waits_s[0] > SLOWED_CPU_WAIT_S:
-                    self.last_disturbed_s = now_s()
+                    self.note_disturbance()
         finally:
             exited.cancel()
 
--- a/libs/soak/src/pistachiowinch/soak/run.py
+++ b/libs/soak/src/pistachiowinch/soak/run.py
@@ -101,6 +101,7 @@
                 cluster.checker,
                 counts,
                 cluster.addresses,
+                cluster.is_only_stopping,
                 ROUTES,
                 customer,
                 lambda customer=customer: cluster.keys[customer],
--- a/libs/standins/src/pistachiowinch/standins/line_caller.py
+++ b/libs/standins/src/pistachiowinch/standins/line_caller.py
@@ -3,13 +3,17 @@
 import asyncio
 from typing import NamedTuple
 
-__all__ = ["CallerAnswer", "LineCaller", "SessionBroken"]
+__all__ = ["CallerAnswer", "ConnectionEnded", "LineCaller", "SessionBroken"]
 
 
 class SessionBroken(Exception):
     """The session is unusable: it was refused or closed, or a result timed out."""
 
 
+class ConnectionEnded(SessionBroken):
+    """The host ended the connection before it sent the complete result."""
+
+
 class CallerAnswer(NamedTuple):
     """Complete result of a statement.
 
@@ -58,14 +62,17 @@
     async def send(self, request_id: str, text: str) -> CallerAnswer:
         """Send a statement and wait for its result.
 
+        :raises ConnectionEnded: if the host ends the connection before.
         :raises SessionBroken: if the complete result does not arrive within the timeout.
         """
         try:
             async with asyncio.timeout(self._answer_timeout_s):
                 self._writer.write(f"QUERY {request_id} {text}\r\n".encode())
                 return await self._read_result()
-        except (OSError, EOFError, TimeoutError) as error:
+        except TimeoutError as error:
             raise SessionBroken(repr(error)) from error
+        except (OSError, EOFError) as error:
+            raise ConnectionEnded(repr(error)) from error
 
     async def _read_result(self) -> CallerAnswer:
         rows: list[str] = []
--- a/tests/entry/test_callers.py
+++ b/tests/entry/test_callers.py
@@ -215,3 +215,21 @@
     await asyncio.sleep(0.05)
     site.server.close_idle()
     assert await asyncio.wait_for(client.reader.read(), 2.0) == b""
+
+
+@pytest.mark.parametrize("text", ["READ 1", "WRITE 1 y", "SET zone a", "BEGIN", "COMMIT"])
+async def test_a_transaction_that_was_aborted_while_its_caller_was_idle_is_refused_as_such(
+    site, text
+):
+    """LOST: the caller was told MALFORMED, which does not say that nothing is kept."""
+    client = await site.client()
+    await client.ask("START primary key")
+    await client.ask("QUERY q1 BEGIN")
+    await client.ask("QUERY q2 WRITE 1 x")
+    await site.world.work.drain("ledger", 0.0, 1.0)
+    answer = await client.ask(f"QUERY q3 {text}")
+    assert answer[0].startswith("ERROR ABORTED")
+    assert answer[1] == ("READY I -" if text == "COMMIT" else "READY E -")
+    if text != "COMMIT":
+        assert (await client.ask("QUERY q4 READ 1"))[0].startswith("ERROR MALFORMED")
+        assert (await client.ask("QUERY q5 ROLLBACK"))[1] == "READY I -"
--- a/tests/soak/unguarded.py
+++ b/tests/soak/unguarded.py
@@ -3,12 +3,13 @@
 import sys
 
 from pistachiowinch.base import codes
+from pistachiowinch.entry.callers import CallerServer
 from pistachiowinch.fleet.primary_lease import PrimaryLease
 from pistachiowinch.limits.rates import RateEscrow
 from pistachiowinch.links.statements import Completed, Position
 from pistachiowinch.platform.serving import serve
 from pistachiowinch.platform.settings import settings_path
-from pistachiowinch.sessions import autocommit, borrowing, exchanges
+from pistachiowinch.sessions import autocommit, borrowing, exchanges, shutdown
 
 
 def ignore_staleness() -> None:
@@ -47,6 +48,13 @@
     PrimaryLease.is_valid = property(lambda self: True)
 
 
+def close_early() -> None:
+    """Close all sessions at the end of a planned stop, whatever they do, and wait for targets."""
+    shutdown.Shutdown.may_send = lambda self, timeout_s: True
+    shutdown.Shutdown.deadline_s = lambda self, started_s, timeout_s: started_s + timeout_s
+    CallerServer.close_waiting = CallerServer.close_all
+
+
 if __name__ == "__main__":
     globals()[sys.argv[1]]()
     serve(settings_path())
