Let one odd entry of another writer change nothing

Operators of other systems saw: one entry that is nested very deeply, or has a number too large or a port out of range, ends hosts or stops their following. Here a running host applied no later change of the registry, and a host that started did not become ready.

Cause: the decoder raises RecursionError for a deeply nested value, also in an unknown field, and nobody expects it; the follower's callback fails on each poll. Ports of 0 and 99999, numbers of 400 digits, names and services with blanks or line ends, and an empty name were accepted. Evidence: each field of an entry, known or unknown, in turn with odd values (tests). Ruled out: an end of the process; parts are restarted.

An unexpected error leaves out its entry only. Only services that the configuration names are served, supervised and counted.

Tests, all failing before: tests/entry/test_host.py (odd entries at a running and a starting host; three unknown services), tests/platform/test_documents.py (odd values, names, nested documents).

--- a/libs/entry/src/pistachiowinch/entry/registry.py
+++ b/libs/entry/src/pistachiowinch/entry/registry.py
@@ -7,7 +7,7 @@
 from pistachiowinch.entry.links import StoreDocuments
 from pistachiowinch.fleet.following import PrefixFollower
 from pistachiowinch.fleet.primaries import PrimaryTable
-from pistachiowinch.links.store import PrefixSource
+from pistachiowinch.links.store import KeyValue, PrefixSource
 from pistachiowinch.sessions.connections import ConnectionPools
 from pistachiowinch.sessions.health import TargetHealth
 from pistachiowinch.sessions.placement import targets_by_name
@@ -78,13 +78,26 @@
         logged = frozenset(changed)
         found: dict[str, Target] = {}
         for key, item in self.follower.items.items():
-            target = self._documents.decode_target(item)
+            target, cause = self._decode(item)
             if target is not None:
                 found[target.name] = target
             elif key in logged:
-                self._log.write("entry_unreadable", key=key, revision=item.mod_revision)
+                self._log.write(
+                    "entry_unreadable", key=key, revision=item.mod_revision, cause=cause
+                )
         return found
 
+    def _decode(self, item: KeyValue) -> tuple[Target | None, str]:
+        """Decode one entry, whose failure must not affect the others.
+
+        :returns: the target, or None and the reason.
+        """
+        try:
+            target = self._documents.decode_target(item)
+        except Exception as error:
+            return None, type(error).__name__
+        return target, "" if target is not None else "not a target's entry"
+
     def _apply(self, found: dict[str, Target]) -> None:
         """Apply the targets; keep missing ones until the store has been back for a while."""
         known = targets_by_name(self._view)
@@ -102,10 +115,13 @@
         self._view.set_targets(found.values())
         self._connections.set_targets(found)
         self._health.keep_only(found)
-        for service in self._view.services:
-            claims = [t.name for t in self._view.targets(service).values() if t.claims_primary]
-            if len(claims) == 1:
-                self._primaries.set_registry_primary(service, claims[0])
+        claims: dict[str, list[str]] = {}
+        for target in found.values():
+            if target.claims_primary:
+                claims.setdefault(target.service, []).append(target.name)
+        for service, names in claims.items():
+            if len(names) == 1:
+                self._primaries.set_registry_primary(service, names[0])
 
     def _without_outdated(
         self, found: dict[str, Target], known: Mapping[str, Target]
--- a/libs/fleet/src/pistachiowinch/fleet/records.py
+++ b/libs/fleet/src/pistachiowinch/fleet/records.py
@@ -129,5 +129,5 @@
     """Decode a record; return None if the value is not a valid record of that type."""
     try:
         return msgspec.json.decode(item.value, type=shape)
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, RecursionError):
         return None
--- a/libs/sessions/src/pistachiowinch/sessions/site.py
+++ b/libs/sessions/src/pistachiowinch/sessions/site.py
@@ -89,6 +89,11 @@
     transaction_idle_s: float
     max_statement_bytes: int
 
+    @property
+    def named_services(self) -> frozenset[str]:
+        """Names of all services with a route or with limits."""
+        return frozenset(self.services).union(route.service for route in self.routes.values())
+
 
 EMPTY_CONFIGURATION = SiteConfiguration(
     -1, {}, {}, {}, {}, DEFAULT_TRANSACTION_IDLE_S, DEFAULT_STATEMENT_BYTES
@@ -180,8 +185,11 @@
 
     @property
     def services(self) -> tuple[str, ...]:
-        """Services that have targets."""
-        return tuple(self._targets)
+        """Services that have targets, and that the configuration names if there is one."""
+        if self.configuration.version < 0:
+            return tuple(self._targets)
+        named = self.configuration.named_services
+        return tuple(service for service in self._targets if service in named)
 
     def is_leaving(self, target: str) -> bool:
         """Whether a target is shutting down or its availability zone is evacuated."""
--- a/libs/standins/src/pistachiowinch/standins/platform_documents.py
+++ b/libs/standins/src/pistachiowinch/standins/platform_documents.py
@@ -129,9 +129,12 @@
         "service": target.service,
         "address": target.address,
         "zone": target.availability_zone,
+        "version": "v1",
+        "slots": target.slots,
         "state": "ready",
+        "coldMs": 0,
         "dbRole": "primary" if target.is_primary else "replica",
-        "slots": target.slots,
+        "seq": 1,
         "born": target.started_ms,
     }
     return Put(target_key(target.name), msgspec.json.encode(entry))
--- a/tests/entry/test_host.py
+++ b/tests/entry/test_host.py
@@ -22,6 +22,7 @@
 )
 from pistachiowinch.links.statements import Read
 from pistachiowinch.platform.documents import PlatformDocuments
+from pistachiowinch.sessions.outages import USUAL_SWITCH_S
 from pistachiowinch.sessions.replies import CompletedStatement
 from pistachiowinch.sessions.session import Session
 from pistachiowinch.standins.memory_store import MemoryStore
@@ -66,6 +67,7 @@
         role = "primary" if self.targets[name].is_primary else "replica"
         entry = {"service": "svc", "address": f"10.0.0.1:{ord(name)}", "zone": "z1"}
         entry |= {"state": state, "dbRole": role, "slots": 5, "born": 1, "seq": sequence}
+        entry |= {"version": "v1", "coldMs": 0}
         put(self.store, f"servers/{name}", json.dumps(entry).encode())
 
     def link(self) -> FakeLink:
@@ -133,6 +135,61 @@
     assert set(site.host.view.targets("svc")) == {"a", "b"}
 
 
+def odd_entries(site: Site) -> dict[str, bytes]:
+    """Return entries of another writer: a target's entry with one odd or missing field each."""
+    entry = json.loads(site.store.apply_get("servers/a").value)
+    deep = b"[" * 100_000 + b"]" * 100_000
+    odd_values = [b"null", b"[]", b"-1", b"1e999", b"9" * 400, deep]
+    odd_texts = [b'"10.0.0.1:99999"', b'"a\\r\\nb"', b'""']
+    values = {field: odd_values + odd_texts for field in entry}
+    # Any text is a zone or a version, and unknown fields with usual values are ignored.
+    values |= {"zone": odd_values, "version": odd_values, "another": [deep]}
+    found = {"servers/": json.dumps(entry).encode(), "servers/deep": deep}
+    for field, odd in values.items():
+        without = {name: value for name, value in entry.items() if name != field}
+        text = json.dumps(without | {field: "odd"}).encode()
+        for number, value in enumerate(odd):
+            found[f"servers/{field}-{number}"] = text.replace(b'"odd"', value)
+    return found
+
+
+async def test_odd_entries_of_another_writer_change_nothing(site):
+    """LOST and RECOVER: after one deeply nested entry a running host missed all later changes, and
+    a host that started never became ready.
+    """
+    odd = odd_entries(site)
+    for key, value in odd.items():
+        put(site.store, key, value)
+        await asyncio.sleep(0.005)
+    await asyncio.sleep(0.2)
+    services = {"svc"}
+    assert set(site.host.view.services) == services
+    assert set(site.host.view.targets("svc")) == {"a", "b"}
+    site.register("b", "draining", 9)
+    await asyncio.sleep(0.2)
+    assert site.host.view.is_leaving("b")
+    assert isinstance(await site.read(), CompletedStatement)
+    starting = Site()
+    for key, value in odd.items():
+        put(starting.store, key, value)
+    await starting.start()
+    await asyncio.sleep(0.5)
+    assert starting.host.is_ready
+    assert isinstance(await starting.read(), CompletedStatement)
+    await starting.host.leave()
+
+
+async def test_targets_of_services_that_nobody_configured_are_left_alone(site):
+    """DRAIN: services of another writer, none with a primary, would make a host cut off."""
+    entry = json.loads(site.store.apply_get("servers/b").value)
+    for number in range(3):
+        odd = entry | {"service": f"odd-{number}", "address": "10.0.0.1:9"}
+        put(site.store, f"servers/odd-{number}", json.dumps(odd).encode())
+    await asyncio.sleep(USUAL_SWITCH_S + 0.3)
+    assert site.host.view.services == ("svc",)
+    assert site.host.is_ready
+
+
 async def test_targets_whose_entries_expired_during_an_outage_are_kept(site):
     """Registry entries expire during an outage of the store. If their targets were dropped when it
     ends, healthy primaries would be replaced.
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -7,6 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from pistachiowinch.fleet.records import HostRecord, decode_record
 from pistachiowinch.limits.bucket import RateLimit
 from pistachiowinch.links.store import KeyValue
 from pistachiowinch.platform.documents import decode_configuration, decode_target
@@ -59,6 +60,10 @@
 }
 
 
+DEEP_LIST = b"[" * 100_000 + b"]" * 100_000
+DEEP_OBJECT = b'{"a":' * 100_000 + b"1" + b"}" * 100_000
+
+
 def item(value: object) -> KeyValue:
     """Return a stored entry of a target."""
     data = value if isinstance(value, bytes) else json.dumps(value).encode()
@@ -98,6 +103,20 @@
         {"dbRole": "leader"},
         {"address": "nowhere"},
         {"address": 5},
+        {"address": "10.0.0.1:99999"},
+        {"address": "10.0.0.1:0"},
+        {"address": "10.0.0.1:" + "9" * 5000},
+        {"address": "a b:80"},
+        {"service": ""},
+        {"service": "a b"},
+        {"service": "a\r\nQUERY - DEMOTE 9"},
+        {"version": 1},
+        {"slots": 10**400},
+        {"slots": -1},
+        {"coldMs": []},
+        {"coldMs": -1},
+        {"born": 10**30},
+        {"seq": 10**30},
         {"born": "x"},
         {"seq": "x"},
         {"zone": None},
@@ -108,6 +127,31 @@
     assert decode_target(item({**ENTRY, **change})) is None
 
 
+@pytest.mark.parametrize("name", ["", "a b", "a\r\n", "\u00e9", "x" * 500])
+def test_a_name_that_is_no_word_names_no_target(name):
+    """UNASKED: the name of a target is a word of the message that opens a connection."""
+    assert decode_target(item(ENTRY)._replace(key=f"servers/{name}")) is None
+
+
+@pytest.mark.parametrize("value", [DEEP_LIST, DEEP_OBJECT, b"1e999", b"9" * 5000])
+@pytest.mark.parametrize("field", [*ENTRY, "another"])
+def test_an_odd_value_in_any_field_raises_no_error(field, value):
+    """A deeply nested value or a large number in one entry ended the following of all entries."""
+    text = json.dumps({**ENTRY, field: "odd"}).encode()
+    target = decode_target(item(text.replace(b'"odd"', value)))
+    assert target is None or (field == "another" and value not in (DEEP_LIST, DEEP_OBJECT))
+
+
+@pytest.mark.parametrize("value", [DEEP_LIST, DEEP_OBJECT])
+def test_a_deeply_nested_document_is_refused_like_any_malformed_one(value):
+    """RecursionError is not an error of the decoder, and nobody else expects it."""
+    assert decode_target(item(value)) is None
+    with pytest.raises(ValueError, match="nested"):
+        decode_configuration(item(b'{"version": 1, "routes": [], "more": ' + value + b"}"))
+    text = b'{"host": "a", "run": 1, "availability_zone": "", "peer_url": "", "more": %s}' % value
+    assert decode_record(item(text), HostRecord) is None
+
+
 @given(st.binary(max_size=60))
 def test_any_bytes_in_the_registry_cost_nothing(data):
     """Arbitrary bytes in the registry must not raise an error."""
--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -50,7 +50,8 @@
         await self.target.start()
         self.store.put("op/config", json.dumps(CONFIGURATION).encode())
         entry = {"service": "svc", "address": self.target.address, "zone": "z1", "born": 1}
-        entry |= {"state": "ready", "dbRole": "primary"}
+        entry |= {"state": "ready", "dbRole": "primary", "version": "v1", "slots": 5}
+        entry |= {"coldMs": 0, "seq": 1}
         self.store.put("servers/i-1", json.dumps(entry).encode())
         settings = {
             "node": "h1",
