Determine the primaries anew if nobody remembers them after a restore

Cause: after 3 s without a majority that remembers, the records of the copy were declared complete.

Change: such records are marked as being switched before the era is completed. The host that continues the switch asks the targets, and keeps the one that leads with the newest term. A host that remembers completes the records before one that does not.

--- a/libs/entry/src/pistachiowinch/entry/host.py
+++ b/libs/entry/src/pistachiowinch/entry/host.py
@@ -7,6 +7,7 @@
 
 from pistachiowinch.base.clock import now_s, sleep_s
 from pistachiowinch.base.decisions import DecisionLog
+from pistachiowinch.base.hashing import rendezvous_order
 from pistachiowinch.base.identity import HostIdentity
 from pistachiowinch.base.metrics import Metrics
 from pistachiowinch.entry.configuration_lag import ConfigurationLag
@@ -175,6 +176,7 @@
             self._fleet_follower,
             self._primaries,
             lambda: self.primary_lease.has_majority,
+            lambda: self.view.services,
             log,
         )
 
@@ -534,11 +536,24 @@
         is_due = self._hosts.has_absent or not self._record_repair.is_complete
         may_decide = self._voter_set.is_voter or not self._voter_set.is_partial
         is_able = may_decide and not self._fleet_follower.is_broken
-        if is_due and is_able and self._group_views.rank() == 0:
+        if not (is_due and is_able):
+            return
+        if self._group_views.rank() == 0:
             await self._hosts.list_again()
             await self._hosts.remove_absent()
+        if self._is_first_to_repair():
             await self._record_repair.check()
 
+    def _is_first_to_repair(self) -> bool:
+        """Whether this voter should complete the records; one that remembers them goes first."""
+        host = self._identity.host
+        remembering = self._membership.witnesses(PRIMARY_LEASE_S) & self._voter_set.voters
+        if self._record_repair.is_forgetful:
+            remembering -= {host}
+        if not remembering:
+            return self._group_views.rank() == 0
+        return rendezvous_order("promotion", remembering)[0] == host
+
     async def _upkeep(self) -> None:
         while True:
             await sleep_s(UPKEEP_INTERVAL_S)
--- a/libs/fleet/src/pistachiowinch/fleet/record_repair.py
+++ b/libs/fleet/src/pistachiowinch/fleet/record_repair.py
@@ -4,10 +4,13 @@
 nothing: it may name a primary that was replaced meanwhile. The record of the era states that the
 fleet's records are complete again. A host that started meanwhile remembers nothing and is called
 forgetful: it uses no primary, and its evidence counts for nobody.
+
+If no majority is heard, possibly nobody remembers the newest records. Every service is then marked
+as being switched, so that the host that continues the switch asks the targets which one is primary.
 """
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from pistachiowinch.base.clock import now_s
 from pistachiowinch.base.decisions import DecisionLog
@@ -27,7 +30,7 @@
 __all__ = ["RecordRepair"]
 
 # A majority of the voters knows every switch that can take effect. Without one, and if all hosts
-# have started anew, a host completes the records by what it has heard in this time.
+# have started anew, the primaries are determined anew after this time.
 MAJORITY_WAIT_S = 3.0
 
 
@@ -38,6 +41,7 @@
     :param follower: follows the records.
     :param primaries: records of the primaries that this host knows.
     :param has_majority: returns whether this host hears a majority of the voters.
+    :param services: returns the names of the services.
     :param log: receives this part's decisions.
     """
 
@@ -47,9 +51,11 @@
         follower: PrefixFollower,
         primaries: PrimaryTable,
         has_majority: Callable[[], bool],
+        services: Callable[[], Iterable[str]],
         log: DecisionLog,
     ) -> None:
         """Create a repair that has seen no era."""
+        self._services = services
         self._store = store
         self._follower = follower
         self._primaries = primaries
@@ -86,11 +92,15 @@
         if age_s <= needed_s:
             return
         try:
-            await self._write_records()
+            if may_know_all:
+                await self._write_known_primaries()
+            else:
+                await self._mark_as_switching()
+            await self._write_era()
         except StoreError as error:
             self._log.write("records_incomplete", cause=str(error)[:60])
 
-    async def _write_records(self) -> None:
+    async def _write_known_primaries(self) -> None:
         for service, record in tuple(self._primaries.records.items()):
             item = self._follower.items.get(group_key(service))
             stored = None if item is None else decode_record(item, PrimaryRecord)
@@ -99,6 +109,19 @@
             written = PrimaryRecord(record.epoch, record.primary)
             revision = 0 if item is None else item.mod_revision
             await self._put(group_key(service), encode_record(written), revision)
+
+    async def _mark_as_switching(self) -> None:
+        known = self._primaries.records
+        for service in sorted({*known, *self._services()}):
+            item = self._follower.items.get(group_key(service))
+            stored = None if item is None else decode_record(item, PrimaryRecord)
+            epochs = [record.epoch for record in (stored, known.get(service)) if record is not None]
+            # An order that the store has lost may still take effect.
+            written = PrimaryRecord(max(epochs, default=0) + 1, "", None)
+            revision = 0 if item is None else item.mod_revision
+            await self._put(group_key(service), encode_record(written), revision)
+
+    async def _write_era(self) -> None:
         era = self._follower.era
         item = self._follower.items.get(ERA_KEY)
         revision = 0 if item is None else item.mod_revision
--- a/tests/entry/test_membership_changes.py
+++ b/tests/entry/test_membership_changes.py
@@ -11,11 +11,13 @@
 
 from pistachiowinch.base.clock import now_s
 from pistachiowinch.base.decisions import DecisionLog
+from pistachiowinch.base.hashing import rendezvous_order
 from pistachiowinch.base.metrics import Metrics
 from pistachiowinch.entry import host as host_module
 from pistachiowinch.entry.host import Host
 from pistachiowinch.entry.links import EntryLinks, HostAddress
 from pistachiowinch.fleet.primary_lease import STORE_ABSENCE_LIMIT_S
+from pistachiowinch.fleet.record_repair import MAJORITY_WAIT_S
 from pistachiowinch.links.statements import Position, TargetState
 from pistachiowinch.platform.documents import PlatformDocuments
 from pistachiowinch.standins.peer_network import MemoryPeerLink, PeerNetwork
@@ -236,3 +238,40 @@
     await asyncio.sleep(9.0)
     assert site.users("a") == {"a1", "b1", "c1", "c2"}
     site.store.faults.is_down = False
+
+
+async def test_a_host_that_remembers_completes_the_records_of_a_restored_store(site):
+    """RECOVER: the first host in order had just restarted, so that all primaries were determined
+    anew, though the other hosts knew them.
+    """
+    names = ("a1", "b1", "c1")
+    await site.add(*names)
+    await asyncio.sleep(FORMED_S)
+    first = rendezvous_order("promotion", names)[0]
+    copy = site.store.copy()
+    await site.kill(first)
+    site.store.restore(copy)
+    await site.add(first)
+    await asyncio.sleep(MAJORITY_WAIT_S + 1.0)
+    assert site.users("a") == set(names)
+    assert all(host._primaries.epoch("svc") == 0 for host in site.hosts.values())
+
+
+async def test_the_primary_is_determined_anew_if_nobody_remembers_it(site):
+    """STALE, review/3: all hosts restarted while the store came back without the last switch, and
+    took the replaced primary for the present one until the end.
+    """
+    names = ("a1", "b1", "c1")
+    await site.add(*names)
+    await asyncio.sleep(FORMED_S)
+    copy = site.store.copy()
+    site.replace_primary()
+    assert await site.promoted(SWITCH_LIMIT_S)
+    await asyncio.sleep(1.0)
+    await site.kill(*names)
+    site.store.restore(copy)
+    await site.add(*names)
+    for _ in range(120):
+        assert not site.users("a")
+        await asyncio.sleep(0.1)
+    assert site.users("b") == set(names)
