Answer a statement after an unexpected error

Seen in a test only.

Change: the error is logged with the request's id, an open transaction is rolled back, and the caller is told INDOUBT, which promises nothing. The session goes on.

Test: tests/entry/test_callers.py, failing before ("closed" instead of an answer).

--- a/libs/entry/src/pistachiowinch/entry/callers.py
+++ b/libs/entry/src/pistachiowinch/entry/callers.py
@@ -8,6 +8,7 @@
 
 from pistachiowinch.base.codes import (
     MALFORMED_PACKET,
+    OUTCOME_UNKNOWN,
     STATEMENT_TOO_LARGE,
     TOO_MANY_CONNECTIONS,
     Refusal,
@@ -256,10 +257,21 @@
                     reply = self._refuse(MALFORMED_PACKET, "not a message of a session")
                     self._log.write("malformed", length=len(line))
                 case CallerQuery(request_id, statement, size_bytes):
-                    reply = await caller.session.execute(request_id, statement, size_bytes)
+                    reply = await self._execute(caller, request_id, statement, size_bytes)
             caller.writer.write(self._codec.encode_reply(reply, caller.session.state))
             await caller.writer.drain()
 
+    async def _execute(
+        self, caller: _Caller, request_id: str, statement: Statement, size_bytes: int
+    ) -> Reply:
+        """Run a statement; an unexpected error leaves its outcome unknown, but not unanswered."""
+        try:
+            return await caller.session.execute(request_id, statement, size_bytes)
+        except Exception as error:
+            self._log.write("statement_failed", request=request_id, cause=repr(error)[:200])
+            caller.session.close()
+            return self._refuse(OUTCOME_UNKNOWN, "the host failed; see its log")
+
     async def _wait_for_configuration(self) -> None:
         is_configured = self._context.view.is_configured
         if is_configured.is_set():
--- a/tests/entry/test_callers.py
+++ b/tests/entry/test_callers.py
@@ -233,3 +233,22 @@
     if text != "COMMIT":
         assert (await client.ask("QUERY q4 READ 1"))[0].startswith("ERROR MALFORMED")
         assert (await client.ask("QUERY q5 ROLLBACK"))[1] == "READY I -"
+
+
+async def test_an_unexpected_error_leaves_no_statement_without_an_answer(site, monkeypatch):
+    """LOST: the connection ended, and a transaction stayed open at its target."""
+    client = await site.client()
+    await client.ask("START primary key")
+    await client.ask("QUERY q1 BEGIN")
+    await client.ask("QUERY q2 WRITE 1 x")
+
+    def fail(*_):
+        raise ZeroDivisionError
+
+    monkeypatch.setattr("pistachiowinch.sessions.exchanges._record_outcome", fail)
+    answer = await client.ask("QUERY q3 WRITE 2 y")
+    assert answer[0].startswith("ERROR INDOUBT")
+    assert answer[1] == "READY I -"
+    monkeypatch.undo()
+    assert site.world.primary.connections == 0
+    assert (await client.ask("QUERY q4 READ 1"))[0].startswith("DONE")
