Let a host leave whose member record others have written again

Cause: a departure is conditional on the revision that the host itself has written; after a restore other hosts list members again, with another revision, and the departure had no effect. A switch would then wait for a host that had stopped as planned, as for one that was lost.

Test: tests/fleet/test_registration.py, failing before (the record did not say that the host had left). tests/fleet and tests/entry pass.

--- a/libs/fleet/src/pistachiowinch/fleet/registration.py
+++ b/libs/fleet/src/pistachiowinch/fleet/registration.py
@@ -109,7 +109,7 @@
         try:
             # The call may take effect late, and must not hide a later run of this host.
             reply = await self._store.transact(
-                [Compare(key, self._member_revision)],
+                [Compare(key, self._own_member_revision())],
                 [Put(key, encode_record(left)), Delete(host_key(self._record.host))],
             )
             await self._store.end_lease(self._lease)
@@ -139,6 +139,15 @@
         is_current = follower.revision >= self._member_revision
         return is_current and (member is None or not self._is_own(member))
 
+    def _own_member_revision(self) -> int:
+        """Return the revision of this run's member record, which others may have written again."""
+        known = None
+        if self._follower is not None:
+            known = self._follower.items.get(member_key(self._record.host))
+        if known is not None and self._is_own(known):
+            return max(known.mod_revision, self._member_revision)
+        return self._member_revision
+
     def _is_own(self, member: KeyValue) -> bool:
         record = decode_record(member, HostRecord)
         return record is not None and record.run == self._record.run
