Wait for running statements when the MySQL edge stops

After the grace time a statement had 5 s and was then cancelled, though it may take 10 s by default, and may have taken effect without an answer.

Change: the stop waits as long as the gateway may take for a statement.

Test: tests/proxy/test_server.py, failing without the longer wait (0 bytes read). tests/proxy/test_server.py and tests/operations pass.

--- a/libs/operations/src/pistachiowinch/operations/host.py
+++ b/libs/operations/src/pistachiowinch/operations/host.py
@@ -75,6 +75,7 @@
             self.gateway,
             max_connections=settings.callers.connections,
             login_timeout_s=settings.callers.login_timeout_s,
+            statement_timeout_s=settings.callers.deadline_s,
         )
         self.operators = OperatorsServer(self, settings.operators)
 
--- a/libs/proxy/src/pistachiowinch/proxy/server.py
+++ b/libs/proxy/src/pistachiowinch/proxy/server.py
@@ -33,6 +33,7 @@
     :param metrics: receives the number of open connections; None for no metrics.
     :param max_connections: maximum of open connections; further callers are refused.
     :param login_timeout_s: timeout of a login.
+    :param statement_timeout_s: time in which the gateway answers each statement.
     """
 
     def __init__(
@@ -41,8 +42,10 @@
         metrics: Metrics | None = None,
         max_connections: int = MAX_CONNECTIONS,
         login_timeout_s: float = LOGIN_TIMEOUT_S,
+        statement_timeout_s: float = 0.0,
     ) -> None:
         """Create a server that is not listening yet."""
+        self._statement_timeout_s = statement_timeout_s
         self._gateway = gateway
         self._metrics = metrics
         self._max_connections = max_connections
@@ -138,7 +141,8 @@
         await self._wait_for_connections(now_s() + grace_s)
         for connection in list(self._connections.values()):
             connection.end(refusal)
-        await self._wait_for_connections(now_s() + _STOP_TIMEOUT_S)
+        # A statement that was cut off could have taken effect without an answer.
+        await self._wait_for_connections(now_s() + self._statement_timeout_s + _STOP_TIMEOUT_S)
         for task in list(self._connections):
             task.cancel()
         await self._wait_for_connections(now_s() + _STOP_TIMEOUT_S)
--- a/tests/proxy/test_server.py
+++ b/tests/proxy/test_server.py
@@ -532,6 +532,20 @@
         return 1
 
 
+async def test_stop_waits_for_the_answer_to_a_statement_that_runs(monkeypatch):
+    """LOST: a statement that took longer than 5 s was cut off, and may have taken effect."""
+    monkeypatch.setattr("pistachiowinch.proxy.server._STOP_TIMEOUT_S", 0.2)
+    async with serving(statement_timeout_s=5.0) as (gateway, server), caller(server) as client:
+        gateway.gate = asyncio.Event()
+        client.write(b"\x03DELETE FROM t", 0)
+        await wait_until(lambda: gateway.statements)
+        stopping = asyncio.create_task(server.stop(0.01))
+        await asyncio.sleep(0.5)
+        gateway.gate.set()
+        assert (await client.read())[0] == 0
+        await stopping
+
+
 async def test_stop_ends_transactions_after_the_grace_period():
     async with serving() as (gateway, server), caller(server) as client:
         await client.query("BEGIN")
