--- a/libs/fleet/src/pistachiowinch/fleet/registration.py
+++ b/libs/fleet/src/pistachiowinch/fleet/registration.py
@@ -202,8 +202,9 @@
 
 
 class FleetMembers:
-    """The fleet's members, which form majorities and share rates and connections.
+    """The fleet's members, which a switch asks to stop, and which share rates and connections.
 
+    A host that left as planned is no member, but keeps a seat, which lets it vote when it returns.
     A host stays a member after its lease has expired, because it may have lost only the store and
     still use a primary. It is removed once its primary lease must have expired as well.
 
--- a/libs/sessions/src/pistachiowinch/sessions/site.py
+++ b/libs/sessions/src/pistachiowinch/sessions/site.py
@@ -89,11 +89,6 @@
     transaction_idle_s: float
     max_statement_bytes: int
 
-    @property
-    def named_services(self) -> frozenset[str]:
-        """Names of all services with a route or with limits."""
-        return frozenset(self.services).union(route.service for route in self.routes.values())
-
 
 EMPTY_CONFIGURATION = SiteConfiguration(
     -1, {}, {}, {}, {}, DEFAULT_TRANSACTION_IDLE_S, DEFAULT_STATEMENT_BYTES
@@ -137,6 +132,7 @@
         self._targets: dict[str, dict[str, Target]] = {}
         self._evacuated: frozenset[str] = frozenset()
         self._leaving_since_s: dict[str, float] = {}
+        self._named_services: frozenset[str] = frozenset()
         self.configuration = EMPTY_CONFIGURATION
         self.is_configured = asyncio.Event()
 
@@ -149,6 +145,8 @@
         if configuration.version <= self.configuration.version:
             return False
         self.configuration = configuration
+        routed = (route.service for route in configuration.routes.values())
+        self._named_services = frozenset(configuration.services).union(routed)
         self.is_configured.set()
         self._log.write("configuration", version=configuration.version, source=source)
         return True
@@ -188,8 +186,7 @@
         """Services that have targets, and that the configuration names if there is one."""
         if self.configuration.version < 0:
             return tuple(self._targets)
-        named = self.configuration.named_services
-        return tuple(service for service in self._targets if service in named)
+        return tuple(service for service in self._targets if service in self._named_services)
 
     def is_leaving(self, target: str) -> bool:
         """Whether a target is shutting down or its availability zone is evacuated."""
--- a/tests/fleet/test_registration.py
+++ b/tests/fleet/test_registration.py
@@ -211,15 +211,21 @@
     task.cancel()
 
 
-async def test_a_host_can_leave_after_others_have_listed_it_again():
-    """RECOVER: a switch would wait for a host that stopped as planned after a restore."""
-    store = MemoryStore()
+async def registered(store: MemoryStore) -> tuple[HostRegistration, asyncio.Task]:
+    """Register the second run of host ``a``, which follows the store."""
     log = DecisionLog("test")
     registration = HostRegistration(
         store, record("a", 2), lambda: None, log, follower=await following(store)
     )
     task = asyncio.ensure_future(registration.run())
     await asyncio.sleep(0.5)
+    return registration, task
+
+
+async def test_a_host_can_leave_after_others_have_listed_it_again():
+    """RECOVER: a switch would wait for a host that stopped as planned after a restore."""
+    store = MemoryStore()
+    registration, task = await registered(store)
     put(store, member_key("a"), encode_record(record("a", 2)))
     await asyncio.sleep(0.1)
     task.cancel()
@@ -230,12 +236,7 @@
 async def test_a_host_whose_record_another_run_replaced_registers_again():
     """ONE: others would take the host for another run that has left."""
     store = MemoryStore()
-    log = DecisionLog("test")
-    registration = HostRegistration(
-        store, record("a", 2), lambda: None, log, follower=await following(store)
-    )
-    task = asyncio.ensure_future(registration.run())
-    await asyncio.sleep(0.5)
+    _, task = await registered(store)
     left = HostRecord("a", 1, "z1", "", has_left=True)
     put(store, member_key("a"), encode_record(left))
     await asyncio.sleep(2.0)
