--- a/tests/fleet/test_switching.py
+++ b/tests/fleet/test_switching.py
@@ -15,6 +15,7 @@
 from pistachiowinch.fleet.records import PrimaryRecord, decode_record, encode_record, group_key
 from pistachiowinch.fleet.switching import (
     ORDER_EFFECT_S,
+    STATE_TIMEOUT_S,
     PrimarySwitch,
     PromoteAnswer,
     SwitchContext,
@@ -267,6 +268,24 @@
     assert world.drained[0] > 0.0
 
 
+async def test_a_candidate_that_is_slow_to_answer_is_not_passed_over():
+    """LOST, report of the review: with ``syncReplicas`` 1 an acknowledged commit may be in the log
+    of one replica only. Its slots were full of reads, and a shorter log was promoted.
+    """
+    world = World()
+    original = world.group.state
+    busy_until_s = now_s() + 1.5 * STATE_TIMEOUT_S
+
+    async def state(service, target, timeout_s):
+        wait_s = busy_until_s - now_s() if target == "c" else 0.0
+        await asyncio.sleep(min(max(wait_s, 0.0), timeout_s))
+        return None if wait_s > timeout_s else await original(service, target, timeout_s)
+
+    world.group.state = state
+    assert await PrimarySwitch(world.context, CRASH_REQUEST).run()
+    assert world.group.promotions[0][0] == "c"
+
+
 async def test_no_switch_begins_without_the_store():
     """ONE: hosts that rely on the store would not see a switch that is not recorded there."""
     world = World()
