Keep statements running at each planned stop of the soak's check

Traced: with four stops and two callers a host and customer, few statements run at the moment of the closing; six runs of that schedule found 0, 0, 3, 0, 3 and 2 of them.

Change: eight stops, five callers, all transactions long, for this schedule only. The check itself is as it was.

--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from pistachiowinch.soak import hosts
+from pistachiowinch.soak import callers, hosts, run
 from pistachiowinch.soak.cluster import ClusterSize
 from pistachiowinch.soak.faults import (
     LinkFault,
@@ -48,8 +48,8 @@
 )
 # Hosts stop in turn while statements take long, so that some run when a host's time is over.
 PLANNED_STOPS = tuple(
-    ScheduledFault(0.5 + 4.5 * number, SignalFault((number % HOSTS,), signal.SIGTERM, 0.1))
-    for number in range(4)
+    ScheduledFault(0.5 + 2.2 * number, SignalFault((number % HOSTS,), signal.SIGTERM, 0.1))
+    for number in range(8)
 ) + tuple(ScheduledFault(0.0, TargetFault(target, "slow", 18.0)) for target in range(6))
 SLOW_STATEMENT_S = 0.04
 RELOADS = (
@@ -82,6 +82,13 @@
     assert report.served > 100
 
 
+def keep_statements_running(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Let most callers be in a slow statement of a transaction at any moment."""
+    monkeypatch.setattr(line_service.LineService, "statement_s", SLOW_STATEMENT_S)
+    monkeypatch.setattr(callers, "LONG_TRANSACTION_PROBABILITY", 1.0)
+    monkeypatch.setattr(run, "CALLERS_PER_HOST", 5)
+
+
 @pytest.mark.parametrize(
     ("guard", "rules", "faults"),
     [
@@ -101,7 +108,7 @@
     monkeypatch.setattr(line_service, "OLD_PRIMARY_DEMOTION_S", FAULT_DURATION_S)
     monkeypatch.setattr(hosts, "SLOWED_CPU_WAIT_S", math.inf)
     if faults is PLANNED_STOPS:
-        monkeypatch.setattr(line_service.LineService, "statement_s", SLOW_STATEMENT_S)
+        keep_statements_running(monkeypatch)
     program = (sys.executable, str(UNGUARDED_PROGRAM), guard)
     settings = SoakSettings(1, 0.0, ClusterSize(HOSTS), tmp_path, program, faults)
     report = await run_soak(settings)
@@ -116,6 +123,6 @@
         folder = tmp_path / str(number)
         folder.mkdir()
         if faults is PLANNED_STOPS:
-            monkeypatch.setattr(line_service.LineService, "statement_s", SLOW_STATEMENT_S)
+            keep_statements_running(monkeypatch)
         settings = SoakSettings(1, 0.0, ClusterSize(HOSTS), folder, faults=faults)
         assert not (await run_soak(settings)).findings
