Return from a loss of all hosts with tokens within the operators' tolerance

Cause: after a loss of all hosts each bucket is empty, although a customer that waited has a full burst. Ruled out: lent tokens of earlier runs (0.5 s only), hosts without a share (they borrow in one round). Change: a host that succeeds its own run credits its share of half the tolerance that the settings state (window, fraction and requests above the limit), at most its share of the burst. Two such starts in a window stay within the tolerance; without the settings nothing changes.

--- a/libs/entry/src/pistachiowinch/entry/host.py
+++ b/libs/entry/src/pistachiowinch/entry/host.py
@@ -45,6 +45,7 @@
 from pistachiowinch.fleet.supervision import ServiceView, SwitchSupervisor
 from pistachiowinch.fleet.switching import SwitchContext
 from pistachiowinch.fleet.voter_set import VoterSet, VoterSetManager
+from pistachiowinch.limits.bucket import NO_TOLERANCE, RateTolerance
 from pistachiowinch.limits.rate_owners import RateOwners
 from pistachiowinch.limits.rates import RateEscrow
 from pistachiowinch.links.store import KeyValue
@@ -90,6 +91,7 @@
     :param log: decision log.
     :param started_s: loop time at which this process was started.
     :param apply_within_s: time in which a configuration must be in force; None for the default.
+    :param rate_tolerance: requests above a customer's limit that operators accept.
     """
 
     def __init__(
@@ -100,6 +102,7 @@
         log: DecisionLog,
         started_s: float,
         apply_within_s: float | None = None,
+        rate_tolerance: RateTolerance = NO_TOLERANCE,
     ) -> None:
         """Create all components; :meth:`start` runs them."""
         self._log = log
@@ -108,6 +111,7 @@
         self._documents = links.documents
         self._started_s = started_s
         self._apply_within_s = apply_within_s or DEFAULT_APPLY_TIMEOUT_S
+        self._rate_tolerance = rate_tolerance
         self._had_lease = False
         self._was_cut_off = False
         self._configuration_lag = ConfigurationLag(self._configuration_limit_s, log)
@@ -200,6 +204,7 @@
             self._metrics,
             read_share=shares.rate_share,
             owners=self._rate_owners,
+            tolerance=self._rate_tolerance,
         )
         self._work = PrimaryWork()
         self.session_context = SessionContext(
--- a/libs/limits/src/pistachiowinch/limits/bucket.py
+++ b/libs/limits/src/pistachiowinch/limits/bucket.py
@@ -8,7 +8,15 @@
 
 from typing import NamedTuple
 
-__all__ = ["LOAN_COUNTED_S", "LOAN_USABLE_S", "CustomerBucket", "LoanState", "RateLimit"]
+__all__ = [
+    "LOAN_COUNTED_S",
+    "LOAN_USABLE_S",
+    "NO_TOLERANCE",
+    "CustomerBucket",
+    "LoanState",
+    "RateLimit",
+    "RateTolerance",
+]
 
 # A borrower may spend a loan for this long after it sent the request.
 LOAN_USABLE_S = 0.25
@@ -31,6 +39,27 @@
     burst: float
 
 
+class RateTolerance(NamedTuple):
+    """Requests above a customer's limit that operators accept in a window.
+
+    :param window_s: length of the window.
+    :param fraction: part of what the limit allows in a window.
+    :param requests: requests besides.
+    """
+
+    window_s: float
+    fraction: float
+    requests: float
+
+    def tokens(self, limit: RateLimit) -> float:
+        """Return the tolerated requests of a window."""
+        allowed = limit.rate_per_s * self.window_s + limit.burst
+        return allowed * self.fraction + self.requests
+
+
+NO_TOLERANCE = RateTolerance(0.0, 0.0, 0.0)
+
+
 class LoanState(NamedTuple):
     """A borrower's report on a loan.
 
@@ -163,9 +192,13 @@
         if self._borrowed:
             self._expire_borrowed(now_s)
 
-    def generate_since(self, since_s: float, now_s: float) -> None:
-        """Replace the own tokens by those that this share has generated since an earlier time."""
-        self.level = min((now_s - since_s) * self.generation_per_s, self.capacity)
+    def generate_since(self, since_s: float, now_s: float, more: float = 0.0) -> None:
+        """Replace the own tokens by those that this share has generated since an earlier time.
+
+        :param more: tokens of all hosts together that were left at that time.
+        """
+        generated = (now_s - since_s) * self.generation_per_s
+        self.level = min(generated + more * self.share, self.capacity)
         self._updated_s = now_s
 
     def try_take(self, now_s: float) -> bool:
--- a/libs/limits/src/pistachiowinch/limits/rates.py
+++ b/libs/limits/src/pistachiowinch/limits/rates.py
@@ -22,9 +22,11 @@
 from pistachiowinch.limits.bucket import (
     LOAN_COUNTED_S,
     LOAN_USABLE_S,
+    NO_TOLERANCE,
     CustomerBucket,
     LoanState,
     RateLimit,
+    RateTolerance,
 )
 from pistachiowinch.limits.counters import limit_counters
 from pistachiowinch.limits.messages import BorrowAnswer, BorrowRequest, LoanReport
@@ -71,6 +73,9 @@
 TICK_INTERVAL_S = 0.1
 # Unspent loans are returned this long before they expire; more than one tick, to miss none.
 RETURN_LEAD_S = 0.15
+# Part of the tolerance that one start of all hosts may use. A customer that waited for them has a
+# full burst, but how long they were gone is not known.
+START_TOLERANCE_FRACTION = 0.5
 # A host that did not run for longer may have lost its share of each rate to other hosts.
 PAUSE_THRESHOLD_S = 1.0
 
@@ -186,6 +191,7 @@
         caller uses only :meth:`set_share`.
     :param owners: the hosts that own shares of each customer's rate; None if this host has the
         same share of all rates.
+    :param tolerance: requests above a limit that operators accept.
     """
 
     def __init__(
@@ -196,6 +202,7 @@
         policy: RatePolicy | None = None,
         read_share: Callable[[], float] | None = None,
         owners: RateOwners | None = None,
+        tolerance: RateTolerance = NO_TOLERANCE,
     ) -> None:
         """Create a rate limiter without customers, share or peers."""
         self._host = host
@@ -204,6 +211,7 @@
         self._policy = policy or Borrowing()
         self._read_share = read_share
         self._owners = owners
+        self._tolerance = tolerance
         self._share = 0.0
         self._peers: tuple[str, ...] = ()
         self._customers: dict[str, _CustomerState] = {}
@@ -251,7 +259,8 @@
         """Credit the tokens that this host's shares would have generated since a time.
 
         No other host has generated tokens from these shares since the previous run ended, and the
-        tokens of that run are gone.
+        tokens of that run are gone. What they generated between the two runs is not known, so that
+        a part of the tolerance is credited for it.
 
         :param since_s: loop time at which this run was started.
         """
@@ -741,7 +750,8 @@
             self.set_share(self._read_share())
         if self._resumed_since_s is not None and self._share > 0.0 and self._customers:
             for state in self._customers.values():
-                state.bucket.generate_since(self._resumed_since_s, at_s)
+                more = self._tolerance.tokens(state.bucket.limit) * START_TOLERANCE_FRACTION
+                state.bucket.generate_since(self._resumed_since_s, at_s, more)
             self._resumed_since_s = None
         for state in tuple(self._customers.values()):
             self._maintain(state, at_s)
--- a/tests/limits/test_rates.py
+++ b/tests/limits/test_rates.py
@@ -9,7 +9,7 @@
 from pistachiowinch.base.clock import now_s, sleep_s
 from pistachiowinch.base.codes import RATE_EXCEEDED
 from pistachiowinch.base.metrics import Metrics
-from pistachiowinch.limits.bucket import CustomerBucket, LoanState
+from pistachiowinch.limits.bucket import CustomerBucket, LoanState, RateTolerance
 from pistachiowinch.limits.rates import Borrowing, EqualSplit, RateEscrow, RateLimit
 from pistachiowinch.standins.peer_network import NetworkFaults, PeerNetwork
 
@@ -274,6 +274,25 @@
     task.cancel()
 
 
+async def test_all_hosts_return_with_tokens_within_the_tolerance():
+    """Guards against a second without tokens after a loss of all hosts, and against a start that
+    lets a customer exceed what operators tolerate in a window.
+    """
+    tolerance = RateTolerance(5.0, 0.1, 20.0)
+    limit = RateLimit(40.0, 100.0)
+    escrow = RateEscrow(
+        "host-0", PeerNetwork(1).link("host-0"), read_share=lambda: 0.5, tolerance=tolerance
+    )
+    escrow.set_limits({"c": limit, "small": RateLimit(4.0, 4.0)})
+    escrow.resume(now_s())
+    task = asyncio.ensure_future(escrow.run())
+    await sleep_s(0.01)
+    admitted = sum(escrow.try_acquire("c") for _ in range(100))
+    assert 10 <= 2 * admitted <= tolerance.tokens(limit) / 2
+    assert sum(escrow.try_acquire("small") for _ in range(10)) == 2
+    task.cancel()
+
+
 async def test_a_refunded_token_can_be_spent_again_and_never_exceeds_the_burst():
     """Guards against requests that reach no target but use up the rate, as during a switchover."""
     escrow = RateEscrow("host-0", PeerNetwork(1).link("host-0"))
