Hold the connections and slots of a target at one pool host

Change: each target has a pool host in its zone, which holds its connections and one queue for its slots; other hosts hand statements over. Checked against the lease and the switch number again after each wait. In effect where a host's equal share of the connections is below a quarter of the customers, and hosts have processor time for it; large hosts are preferred. Without a reachable pool host, a host uses its own connections as before.

--- a/libs/base/src/pistachiowinch/base/identity.py
+++ b/libs/base/src/pistachiowinch/base/identity.py
@@ -16,9 +16,11 @@
         :data:`NO_INCARNATION` while unknown.
     :param availability_zone: zone from the settings.
     :param peer_url: address where peers reach this host, ``tcp://IP:PORT``.
+    :param processor_cores: processor time that the host has, in cores.
     """
 
     host: str
     incarnation: int
     availability_zone: str
     peer_url: str
+    processor_cores: float = 1.0
--- a/libs/entry/src/pistachiowinch/entry/daemon.py
+++ b/libs/entry/src/pistachiowinch/entry/daemon.py
@@ -119,7 +119,7 @@
         await sleep_s(min(LEAVE_ROTATION_S, within_s * LEAVE_ROTATION_FRACTION))
         self._callers.stop_listening()
         self._host.session_context.is_stopping = True
-        while self._callers.count and now_s() < answers_by_s:
+        while (self._callers.count or self._host.hosts_work) and now_s() < answers_by_s:
             self._callers.end_hopeless_transactions()
             self._callers.close_idle()
             await sleep_s(min(STOP_POLL_INTERVAL_S, answers_by_s - now_s()))
--- a/libs/entry/src/pistachiowinch/entry/host.py
+++ b/libs/entry/src/pistachiowinch/entry/host.py
@@ -56,9 +56,14 @@
 from pistachiowinch.sessions.context import SessionContext
 from pistachiowinch.sessions.health import TargetHealth
 from pistachiowinch.sessions.placement import targets_by_name
+from pistachiowinch.sessions.pool_client import PoolClient
+from pistachiowinch.sessions.pool_hosts import PoolHosts
+from pistachiowinch.sessions.pool_server import PoolServer
 from pistachiowinch.sessions.primary_work import PrimaryWork
 from pistachiowinch.sessions.probing import TargetProber
 from pistachiowinch.sessions.site import SiteView
+from pistachiowinch.sessions.target_loads import TargetLoads, ZoneCost
+from pistachiowinch.sessions.zone_placement import ZonePlacement
 
 __all__ = ["Host"]
 
@@ -118,7 +123,11 @@
         self._tasks: list[asyncio.Task] = []
         run = random.SystemRandom().getrandbits(INCARNATION_BITS) | 1
         self._identity = HostIdentity(
-            address.host, run, address.availability_zone, address.peer_url
+            address.host,
+            run,
+            address.availability_zone,
+            address.peer_url,
+            address.processor_cores,
         )
         self._build_fleet()
         self._build_sessions(links)
@@ -137,7 +146,11 @@
             self._store, self._peer_link, self._reads_store, self._voter_heartbeats, log
         )
         record = HostRecord(
-            identity.host, identity.incarnation, identity.availability_zone, identity.peer_url
+            identity.host,
+            identity.incarnation,
+            identity.availability_zone,
+            identity.peer_url,
+            processor_cores=identity.processor_cores,
         )
         self._primaries = PrimaryTable(log)
         self._fleet_follower = PrefixFollower(
@@ -193,7 +206,7 @@
         self._connections = ConnectionPools(
             links.targets,
             health,
-            shares.connection_limit,
+            lambda target: shares.target_limit(target, self._pool_server.hosts_target(target.name)),
             self._metrics,
             self._log.for_part("connections"),
         )
@@ -220,6 +233,7 @@
             availability_zone=self._identity.availability_zone,
             is_outdated=lambda: self.is_outdated,
         )
+        self._build_shared_pools(shares)
         self._prober = TargetProber(self.view, health, links.targets)
         self._operators_follower = PrefixFollower(
             self._relay,
@@ -249,6 +263,26 @@
             lambda: self._voter_set.readers_per_voter,
         )
 
+    def _build_shared_pools(self, shares: Shares) -> None:
+        identity = self._identity
+        log = self._log.for_part("pools")
+        self._loads = TargetLoads()
+        self._pool_server = PoolServer(
+            identity.host, identity.incarnation, self.session_context, self._peer_link, log
+        )
+        self._pool_client = PoolClient(
+            identity.host,
+            identity.incarnation,
+            PoolHosts(self._hosts, self.view, shares.connection_limit),
+            self._pool_server,
+            self._loads,
+            ZonePlacement(self._loads, identity.availability_zone, ZoneCost()),
+            self._peer_link,
+            self._metrics,
+            log,
+        )
+        self.session_context.shared_pools = self._pool_client
+
     def _build_switching(self, links: EntryLinks) -> None:
         log = self._log.for_part("switch")
         identity = self._identity
@@ -320,6 +354,7 @@
             self._registry.follower.run,
             self._membership.run,
             self._rates.run,
+            self._pool_client.run,
             self._prober.run,
             self._supervisor.run,
             self._store_contact.run,
@@ -331,8 +366,14 @@
         run = self._identity.incarnation
         self._log.write("started", host=self._identity.host, run=run)
 
+    @property
+    def hosts_work(self) -> bool:
+        """Whether statements or transactions of other hosts' callers are in progress here."""
+        return not self._pool_server.is_idle
+
     async def leave(self) -> None:
         """Return borrowed rate tokens, leave the fleet and stop."""
+        self._pool_server.close()
         await self._rates.return_loans()
         self._hosts.resign()
         await self._registration.leave()
@@ -366,6 +407,7 @@
             self._voter_set.reply_only_hosts,
             self._voter_set.expects_replies,
         )
+        self._pool_client.set_members(self._hosts.members)
         if self._rate_owners.set_hosts(self._hosts.names):
             self._rates.update_shares()
 
@@ -569,5 +611,9 @@
             self._registry.drop_missing()
             self._update_evacuated()
             self._connections.trim_idle()
+            targets = targets_by_name(self.view)
+            self._pool_server.set_targets(targets.values())
+            self._pool_server.end_idle_transactions()
+            self._loads.keep_only(targets)
             # Grace times of leaving targets and the lease expire without an event.
             self._connections.wake_all()
--- a/libs/entry/src/pistachiowinch/entry/links.py
+++ b/libs/entry/src/pistachiowinch/entry/links.py
@@ -13,14 +13,16 @@
 
 
 class HostAddress(NamedTuple):
-    """Name, zone and peer address of one host.
+    """Name, zone, peer address and size of one host.
 
     :param peer_url: address for other hosts, ``tcp://IP:PORT``.
+    :param processor_cores: processor time that the host has, in cores.
     """
 
     host: str
     availability_zone: str
     peer_url: str
+    processor_cores: float = 1.0
 
 
 class StoreDocuments(Protocol):
--- a/libs/fleet/src/pistachiowinch/fleet/records.py
+++ b/libs/fleet/src/pistachiowinch/fleet/records.py
@@ -46,6 +46,7 @@
     :param run: random number of the run, which distinguishes a restarted host from its old run.
     :param has_left: whether the run stopped as planned and uses no primary any more; the host may
         still vote when it returns.
+    :param processor_cores: processor time that the host has, in cores.
     """
 
     host: str
@@ -53,6 +54,7 @@
     availability_zone: str
     peer_url: str
     has_left: bool = False
+    processor_cores: float = 1.0
 
 
 class PrimaryRecord(msgspec.Struct, frozen=True):
--- a/libs/fleet/src/pistachiowinch/fleet/registration.py
+++ b/libs/fleet/src/pistachiowinch/fleet/registration.py
@@ -303,7 +303,11 @@
                     departed.add(record.host)
                     continue
                 members[record.host] = HostIdentity(
-                    record.host, record.run, record.availability_zone, record.peer_url
+                    record.host,
+                    record.run,
+                    record.availability_zone,
+                    record.peer_url,
+                    record.processor_cores,
                 )
         if self._era is not None and follower.era != self._era:
             self._unlisted |= self._members
@@ -334,7 +338,13 @@
     async def list_again(self) -> None:
         """Write members that a restored store has lost; a dead one is removed later as usual."""
         for host, member in tuple(self._unlisted.items()):
-            record = HostRecord(host, member.incarnation, member.availability_zone, member.peer_url)
+            record = HostRecord(
+                host,
+                member.incarnation,
+                member.availability_zone,
+                member.peer_url,
+                processor_cores=member.processor_cores,
+            )
             try:
                 reply = await self._store.transact(
                     [Compare(member_key(host), 0)], [Put(member_key(host), encode_record(record))]
--- a/libs/sessions/src/pistachiowinch/sessions/autocommit.py
+++ b/libs/sessions/src/pistachiowinch/sessions/autocommit.py
@@ -13,7 +13,13 @@
 from pistachiowinch.sessions.borrowing import BorrowedConnection, Placement, borrow_connection
 from pistachiowinch.sessions.context import SessionContext
 from pistachiowinch.sessions.exchanges import MAX_ATTEMPTS, RETRY_PAUSE_S, exchange
-from pistachiowinch.sessions.replies import CompletedStatement, Reply, with_retry_after
+from pistachiowinch.sessions.pool_messages import Declined
+from pistachiowinch.sessions.replies import (
+    CompletedStatement,
+    Reply,
+    refuse_declined,
+    with_retry_after,
+)
 from pistachiowinch.sessions.work import Operation, Work
 
 __all__ = ["run_autocommit"]
@@ -30,12 +36,23 @@
     deadline_s = context.shutdown.deadline_s(operation.started_s, operation.route.timeout_s)
     must_be_primary = work.is_write or operation.needs_primary
     excluded: set[str] = set()
+    declined: Declined | None = None
     for attempt in range(MAX_ATTEMPTS):
         placement = Placement(operation, must_be_primary, frozenset(excluded), deadline_s)
         borrowed = await borrow_connection(context, placement)
         if isinstance(borrowed, Refusal):
-            return borrowed
+            return borrowed if declined is None else refuse_declined(context.metrics, declined)
         reply = await _attempt(context, operation, work, borrowed, deadline_s)
+        if isinstance(reply, Declined):
+            context.metrics.retries.labels("declined").inc()
+            if reply.is_local:
+                continue
+            if must_be_primary or declined is not None:
+                return refuse_declined(context.metrics, reply)
+            # The pool host of another target may have room.
+            declined = reply
+            excluded.add(borrowed.pooled.target.name)
+            continue
         if not isinstance(reply, _Retry):
             return reply
         context.metrics.retries.labels("write" if work.is_write else "read").inc()
@@ -46,6 +63,8 @@
             excluded.add(target)
         if now_s() >= deadline_s:
             break
+    if declined is not None:
+        return refuse_declined(context.metrics, declined)
     return _refuse_exhausted(context, work)
 
 
@@ -64,7 +83,7 @@
     work: Work,
     borrowed: BorrowedConnection,
     deadline_s: float,
-) -> Reply | _Retry:
+) -> Reply | _Retry | Declined:
     """Run the statement once."""
     attempt_timeout_s = operation.route.timeout_s * READ_ATTEMPT_FRACTION
     until_s = deadline_s if work.is_write else min(deadline_s, now_s() + attempt_timeout_s)
@@ -73,6 +92,8 @@
     finally:
         context.connections.release(borrowed.pooled)
     match outcome:
+        case Declined():
+            return outcome
         case Completed():
             return _complete(context, operation, work, borrowed, outcome)
         case Refused(reason=ReasonRefused.FAILED | ReasonRefused.TIMEOUT):
--- a/libs/sessions/src/pistachiowinch/sessions/borrowing.py
+++ b/libs/sessions/src/pistachiowinch/sessions/borrowing.py
@@ -9,6 +9,7 @@
 from pistachiowinch.sessions.connections import ConnectionRequest, PooledConnection
 from pistachiowinch.sessions.context import SessionContext
 from pistachiowinch.sessions.placement import read_tiers
+from pistachiowinch.sessions.pool_gateway import SharedPools
 from pistachiowinch.sessions.replies import with_retry_after
 from pistachiowinch.sessions.site import Consistency, Target
 from pistachiowinch.sessions.work import Operation
@@ -62,6 +63,11 @@
         required = required_position(context, placement.operation)
         if required is not None:
             await wait_for_catch_up(context, service, required, placement.excluded, wait_until_s)
+    shared = context.shared_pools
+    if shared is not None and shared.is_shared(service):
+        found = _borrow_shared(context, shared, placement)
+        if found is not None:
+            return found
     while True:
         request = ConnectionRequest(
             placement.operation.customer,
@@ -81,6 +87,45 @@
             return _refuse(context, "the primary changed")
 
 
+def _borrow_shared(
+    context: SessionContext, shared: SharedPools, placement: Placement
+) -> BorrowedConnection | Refusal | None:
+    """Choose the pool host of the best target, where the statement waits for a slot.
+
+    :returns: None if no pool host can be used, so that this host needs a connection of its own.
+    """
+    operation = placement.operation
+    service = operation.route.service
+    targets = _shared_targets(context, shared, placement)
+    if not targets:
+        detail = "no target may run the statement now"
+        return _refuse(context, detail if context.has_lease() else "the primary is not known")
+    primary = context.leased_primary(service)
+    epoch = context.primaries.epoch(service)
+    required = required_position(context, operation)
+    for target in targets:
+        is_primary = target.name == primary
+        host = shared.host_of(target)
+        if not host or not (is_primary or required is not None):
+            continue
+        pooled = shared.connect(
+            host, target, operation.customer, is_primary, epoch, operation.route.priority
+        )
+        return BorrowedConnection(pooled, is_primary, epoch, None if is_primary else required)
+    return None
+
+
+def _shared_targets(
+    context: SessionContext, shared: SharedPools, placement: Placement
+) -> list[Target]:
+    """Return the targets that may run a statement, the best first."""
+    tiers = _tiers(context, placement)
+    if placement.must_be_primary or len(tiers) < 3:
+        return [target for tier in tiers for target in tier]
+    operation = placement.operation
+    return shared.order_reads(operation.route.service, *tiers, operation.customer)
+
+
 def required_position(context: SessionContext, operation: Operation) -> Position | None:
     """Return the position that a replica needs for an operation; None if none may serve it."""
     route = operation.route
--- a/libs/sessions/src/pistachiowinch/sessions/connections.py
+++ b/libs/sessions/src/pistachiowinch/sessions/connections.py
@@ -25,7 +25,7 @@
     StatementLink,
     TargetRefused,
 )
-from pistachiowinch.sessions.health import REFUSED_PAUSE_S, TargetHealth
+from pistachiowinch.sessions.health import REFUSED_PAUSE_S, SLOW_EXCHANGE_S, TargetHealth
 from pistachiowinch.sessions.replies import with_retry_after
 from pistachiowinch.sessions.site import Target
 
@@ -66,17 +66,33 @@
 class PooledConnection:
     """A connection with the session state that its target keeps for it.
 
+    :ivar is_shared: whether a pool host holds it, so that it belongs to none of this host's pools.
     :ivar values: variables that are set.
     :ivar prepared: names of the prepared statements.
     """
 
-    __slots__ = ("connection", "customer", "idle_since_s", "prepared", "target", "values")
+    __slots__ = (
+        "connection",
+        "customer",
+        "idle_since_s",
+        "is_shared",
+        "prepared",
+        "target",
+        "values",
+    )
 
-    def __init__(self, connection: StatementConnection, target: Target, customer: str) -> None:
+    def __init__(
+        self,
+        connection: StatementConnection,
+        target: Target,
+        customer: str,
+        is_shared: bool = False,
+    ) -> None:
         """Wrap a new connection."""
         self.connection = connection
         self.target = target
         self.customer = customer
+        self.is_shared = is_shared
         self.values: dict[str, str] = {}
         self.prepared: set[str] = set()
         self.idle_since_s = 0.0
@@ -106,7 +122,7 @@
 
     :param link: opens connections.
     :param health: records which targets respond.
-    :param share: returns how many connections this host may open to each target of a service.
+    :param limit: returns how many connections this host may open to a target.
     :param metrics: counts refusals and closed connections.
     :param log: decision log of this component.
     """
@@ -115,14 +131,14 @@
         self,
         link: StatementLink,
         health: TargetHealth,
-        share: Callable[[str], int],
+        limit: Callable[[Target], int],
         metrics: Metrics,
         log: DecisionLog,
     ) -> None:
         """Create empty pools."""
         self._link = link
         self._health = health
-        self._share = share
+        self._limit = limit
         self._metrics = metrics
         self._log = log
         self._pools: dict[str, _Pool] = {}
@@ -151,6 +167,8 @@
 
     def release(self, pooled: PooledConnection) -> None:
         """Return a connection to its pool; an unusable one is closed."""
+        if pooled.is_shared:
+            return
         pool = self._pools.get(pooled.target.name)
         is_known = pool is not None and pool.target.started_ms == pooled.target.started_ms
         if not is_known or not pooled.connection.is_usable:
@@ -159,7 +177,7 @@
         pooled.idle_since_s = now_s()
         pool.idle.append(pooled)
         self._wake(pooled.target.service)
-        if pooled in pool.idle and pool.open_count > self._share(pooled.target.service):
+        if pooled in pool.idle and pool.open_count > self._limit(pooled.target):
             pool.idle.remove(pooled)
             self.discard(pooled, "extra")
 
@@ -186,7 +204,7 @@
         """
         oldest_s = now_s() - MAX_IDLE_S
         for pool in self._pools.values():
-            kept = int(self._share(pool.target.service) * IDLE_KEPT_FRACTION)
+            kept = int(self._limit(pool.target) * IDLE_KEPT_FRACTION)
             idle = sorted(pool.idle, key=lambda pooled: pooled.idle_since_s)
             for pooled in idle[: max(pool.open_count - kept, 0)]:
                 if pooled.idle_since_s < oldest_s:
@@ -265,7 +283,7 @@
             pool = self._pools.get(target.name)
             if pool is None:
                 pool = self._pools[target.name] = _Pool(target)
-            if pool.open_count < self._share(target.service):
+            if pool.open_count < self._limit(target):
                 pool.open_count += 1
                 return target
         return None
@@ -304,7 +322,9 @@
             self._health.note_connected(target.name, now_s() - started_s)
             return PooledConnection(connection, target, request.customer)
         except TargetRefused as error:
-            self._note_refused(target, error)
+            is_judged = error.reason is not None or now_s() - started_s >= SLOW_EXCHANGE_S
+            if is_judged or now_s() < started_s + timeout_s:
+                self._note_refused(target, error)
             return None
         finally:
             if not is_open:
@@ -319,7 +339,7 @@
                 self._health.note_alive(target.name)
         self._log.write("connection_refused", target=target.name, cause=str(error)[:80])
         pool = self._pools.get(target.name)
-        if pool is not None and pool.open_count > self._share(target.service):
+        if pool is not None and pool.open_count > self._limit(target):
             # Only connections above the share are refused; those within it remain usable.
             pool.no_extra_until_s = now_s() + EXTRA_PAUSE_S
             return
--- a/libs/sessions/src/pistachiowinch/sessions/context.py
+++ b/libs/sessions/src/pistachiowinch/sessions/context.py
@@ -13,6 +13,7 @@
 from pistachiowinch.sessions.freshness import FreshnessLog
 from pistachiowinch.sessions.health import TargetHealth
 from pistachiowinch.sessions.outages import ServiceOutages
+from pistachiowinch.sessions.pool_gateway import SharedPools
 from pistachiowinch.sessions.primary_work import PrimaryWork
 from pistachiowinch.sessions.shutdown import NO_SHUTDOWN, Shutdown
 from pistachiowinch.sessions.site import SiteView
@@ -51,6 +52,7 @@
     :param is_stopping: whether the host refuses new operations.
     :param shutdown: limits of statements after a stop signal.
     :param is_outdated: returns whether a newer configuration is in force that this host lacks.
+    :param shared_pools: hands statements to pool hosts; None if this host never does.
     """
 
     view: SiteView
@@ -66,6 +68,7 @@
     is_stopping: bool = False
     shutdown: Shutdown = NO_SHUTDOWN
     is_outdated: Callable[[], bool] = lambda: False
+    shared_pools: SharedPools | None = None
     outages: ServiceOutages = field(default_factory=ServiceOutages)
     freshness: dict[str, FreshnessLog] = field(default_factory=dict)
 
--- a/libs/sessions/src/pistachiowinch/sessions/exchanges.py
+++ b/libs/sessions/src/pistachiowinch/sessions/exchanges.py
@@ -12,6 +12,9 @@
 from pistachiowinch.sessions.alignment import align
 from pistachiowinch.sessions.borrowing import BorrowedConnection
 from pistachiowinch.sessions.context import SessionContext
+from pistachiowinch.sessions.health import SLOW_EXCHANGE_S
+from pistachiowinch.sessions.pool_messages import Declined
+from pistachiowinch.sessions.shared_connection import SharedConnection
 from pistachiowinch.sessions.work import Operation, Work
 
 __all__ = ["MAX_ATTEMPTS", "RETRY_PAUSE_S", "exchange"]
@@ -31,16 +34,22 @@
     work: Work,
     min_position: Position | None,
     deadline_s: float,
-) -> StatementOutcome:
+) -> StatementOutcome | Declined:
     """Align the connection with the session and run one statement.
 
     :param operation: operation of the statement; its rate token is marked as spent on sending.
     :param min_position: position that the target must have applied; None for any.
     :param deadline_s: loop time after which the target is treated as unresponsive.
-    :returns: the target's outcome; Interrupted with ``is_sent`` false if nothing was sent.
+    :returns: the target's outcome; Interrupted with ``is_sent`` false if nothing was sent; Declined
+        if the target's pool host did not offer the statement to it.
     """
     pooled = borrowed.pooled
+    if isinstance(pooled.connection, SharedConnection):
+        return await _exchange_at_pool_host(
+            context, borrowed, pooled.connection, operation, work, min_position, deadline_s
+        )
     service = pooled.target.service
+    started_s = now_s()
     exchange_id = context.health.begin_exchange(pooled.target.name)
     if borrowed.is_primary:
         context.work.begin_exchange(service)
@@ -48,7 +57,8 @@
         aligned = await align(pooled, operation.state.values, work.prepared, deadline_s)
         if not isinstance(aligned, Completed):
             pooled.connection.close()
-            context.health.note_failure(pooled.target.name, "session state was not taken")
+            if not _is_cut_short(started_s, deadline_s):
+                context.health.note_failure(pooled.target.name, "session state was not taken")
             return Interrupted(False, f"session state was not taken: {aligned}")
         if borrowed.is_primary and not _is_still_primary(context, borrowed):
             return Interrupted(False, "the primary changed")
@@ -59,7 +69,7 @@
         outcome = await pooled.connection.run(
             work.request_id, work.statement, min_position, remaining_s(deadline_s)
         )
-        _record_outcome(context, borrowed, outcome, sent_s, work, min_position)
+        _record_outcome(context, borrowed, outcome, sent_s, work, min_position, deadline_s)
         return outcome
     finally:
         if borrowed.is_primary:
@@ -67,6 +77,54 @@
         context.health.end_exchange(pooled.target.name, exchange_id)
 
 
+async def _exchange_at_pool_host(
+    context: SessionContext,
+    borrowed: BorrowedConnection,
+    connection: SharedConnection,
+    operation: Operation,
+    work: Work,
+    min_position: Position | None,
+    deadline_s: float,
+) -> StatementOutcome | Declined:
+    """Run one statement through the pool host of its target, which aligns a connection for it."""
+    service = borrowed.pooled.target.service
+    if borrowed.is_primary:
+        context.work.begin_exchange(service)
+    try:
+        if borrowed.is_primary and not _is_still_primary(context, borrowed):
+            return Interrupted(False, "the primary changed")
+        sent_s = now_s()
+        if sent_s >= deadline_s:
+            return Interrupted(False, "no time was left")
+        was_spent = operation.rate_token.is_spent
+        operation.rate_token.is_spent = True
+        objective_s = operation.started_s + operation.route.target_latency_s
+        outcome = await connection.run_aligned(
+            work.request_id,
+            work.statement,
+            work.prepared,
+            operation.state.values,
+            min_position,
+            deadline_s if work.is_in_transaction else objective_s,
+            deadline_s,
+        )
+    finally:
+        if borrowed.is_primary:
+            context.work.end_exchange(service)
+    match outcome:
+        case Declined() | Interrupted(is_sent=False):
+            operation.rate_token.is_spent = was_spent
+    match outcome:
+        case Declined():
+            pass
+        case Interrupted():
+            # The pool host may have failed, which says nothing about the target.
+            _log_failure(context, borrowed, outcome, sent_s, work, min_position)
+        case _:
+            _record_outcome(context, borrowed, outcome, sent_s, work, min_position, deadline_s)
+    return outcome
+
+
 def _is_still_primary(context: SessionContext, borrowed: BorrowedConnection) -> bool:
     service = borrowed.pooled.target.service
     is_same = context.primaries.epoch(service) == borrowed.epoch
@@ -80,6 +138,7 @@
     sent_s: float,
     work: Work,
     min_position: Position | None,
+    deadline_s: float,
 ) -> None:
     pooled = borrowed.pooled
     target = pooled.target.name
@@ -107,23 +166,48 @@
         case Interrupted() if now_s() >= context.shutdown.answers_by_s:
             # This host's stop cut the wait short, which says nothing about the target.
             pass
+        case Interrupted() if _is_cut_short(sent_s, deadline_s):
+            # The statement was sent too late for any target to answer it in time.
+            pass
         case Interrupted(_, cause):
             context.health.note_failure(target, cause)
             context.connections.close_idle(target, "silent")
     if not isinstance(outcome, Completed):
-        context.log.write(
-            "exchange_failed",
-            request=work.request_id,
-            target=target,
-            is_primary=borrowed.is_primary,
-            epoch=borrowed.epoch,
-            took_s=round(now_s() - sent_s, 3),
-            outcome=_describe(outcome),
-        )
+        _log_failure(context, borrowed, outcome, sent_s, work, min_position)
+
+
+def _is_cut_short(since_s: float, deadline_s: float) -> bool:
+    """Whether a wait that has failed was too short to count against the target."""
+    return now_s() >= deadline_s and now_s() - since_s < SLOW_EXCHANGE_S
+
+
+def _log_failure(
+    context: SessionContext,
+    borrowed: BorrowedConnection,
+    outcome: Refused | Interrupted,
+    sent_s: float,
+    work: Work,
+    min_position: Position | None,
+) -> None:
+    context.log.write(
+        "exchange_failed",
+        request=work.request_id,
+        target=borrowed.pooled.target.name,
+        is_primary=borrowed.is_primary,
+        epoch=borrowed.epoch,
+        took_s=round(now_s() - sent_s, 3),
+        outcome=_describe(outcome, min_position),
+    )
+
+
+def _format(position: Position | None) -> str:
+    return "-" if position is None else f"{position.term}.{position.number}"
 
 
-def _describe(outcome: Refused | Interrupted) -> str:
+def _describe(outcome: Refused | Interrupted, min_position: Position | None) -> str:
     match outcome:
+        case Refused(ReasonRefused.LAGGING, _, _, position):
+            return f"lagging: has {_format(position)}, needs {_format(min_position)}"
         case Refused(reason, detail):
             return f"{reason.value}: {detail[:60]}"
         case Interrupted(is_sent, cause):
--- a/libs/sessions/src/pistachiowinch/sessions/health.py
+++ b/libs/sessions/src/pistachiowinch/sessions/health.py
@@ -7,11 +7,12 @@
 from pistachiowinch.base.decisions import DecisionLog
 from pistachiowinch.links.statements import Position
 
-__all__ = ["REFUSED_PAUSE_S", "TargetHealth"]
+__all__ = ["REFUSED_PAUSE_S", "SLOW_EXCHANGE_S", "TargetHealth"]
 
 # Consecutive failures after which a target is suspected; one alone may be a lost answer.
 SUSPECT_FAILURES = 2
-# Age of an unanswered exchange at which the target is probed: three times the longest usual work.
+# Silence of an exchange that counts against its target and calls for a probe: three times the
+# longest usual work. What begins shortly before its deadline is given up earlier.
 SLOW_EXCHANGE_S = 0.25
 # Time for which a peer's suspicion of a target calls for a probe; peers repeat it each 0.2 s.
 REPORT_RETENTION_S = 0.5
@@ -189,6 +190,10 @@
             return False
         return state.position is None or state.position < required
 
+    def position(self, target: str) -> Position | None:
+        """Return the position that the target reported last."""
+        return self._state(target).position
+
     def note_lag(self, target: str, reached_s: float | None) -> None:
         """Record the lag of a replica.
 
--- a/libs/sessions/src/pistachiowinch/sessions/transactions.py
+++ b/libs/sessions/src/pistachiowinch/sessions/transactions.py
@@ -20,7 +20,8 @@
 from pistachiowinch.sessions.borrowing import BorrowedConnection, Placement, borrow_connection
 from pistachiowinch.sessions.context import SessionContext
 from pistachiowinch.sessions.exchanges import MAX_ATTEMPTS, RETRY_PAUSE_S, exchange
-from pistachiowinch.sessions.replies import CompletedStatement, Reply
+from pistachiowinch.sessions.pool_messages import Declined
+from pistachiowinch.sessions.replies import CompletedStatement, Reply, refuse_declined
 from pistachiowinch.sessions.work import Operation, Work
 
 __all__ = ["Transaction"]
@@ -79,7 +80,7 @@
         match outcome:
             case Completed():
                 return CompletedStatement(*outcome)
-            case Refused(detail=cause) | Interrupted(cause=cause):
+            case Refused(detail=cause) | Interrupted(cause=cause) | Declined(reason=cause):
                 return self._fail(cause)
 
     async def commit(self, request_id: str, commit: Commit) -> Reply:
@@ -96,6 +97,8 @@
             case Completed():
                 self._finish()
                 return self._acknowledge_commit(borrowed, outcome)
+            case Declined(reason=cause):
+                return self._fail(cause)
             case Refused(reason=reason) if reason.is_not_run:
                 return self._fail(outcome.detail)
             case Refused():
@@ -140,10 +143,13 @@
         must_be_primary = not self._is_read_only or self.operation.needs_primary
         excluded: set[str] = set()
         cause = "no target took the transaction"
+        declined: Declined | None = None
         for attempt in range(MAX_ATTEMPTS):
             placement = Placement(self.operation, must_be_primary, frozenset(excluded), deadline_s)
             borrowed = await borrow_connection(self._context, placement)
             if isinstance(borrowed, Refusal):
+                if declined is not None:
+                    borrowed = refuse_declined(self._context.metrics, declined)
                 self._abort_cause = borrowed.detail
                 return borrowed
             begin = Work(NO_REQUEST_ID, Begin(self._is_read_only), None, False)
@@ -153,6 +159,17 @@
             if isinstance(outcome, Completed):
                 self._start(borrowed)
                 return None
+            if isinstance(outcome, Declined):
+                self._context.metrics.retries.labels("declined").inc()
+                if outcome.is_local:
+                    continue
+                if must_be_primary or declined is not None:
+                    refusal = refuse_declined(self._context.metrics, outcome)
+                    self._abort_cause = refusal.detail
+                    return refusal
+                declined = outcome
+                excluded.add(borrowed.pooled.target.name)
+                continue
             self._context.connections.release(borrowed.pooled)
             self._context.metrics.retries.labels("begin").inc()
             cause = str(outcome)
@@ -172,7 +189,9 @@
             service = borrowed.pooled.target.service
             self._context.work.add_transaction(service, self, self.abort)
 
-    async def _exchange(self, work: Work, deadline_s: float) -> Completed | Refused | Interrupted:
+    async def _exchange(
+        self, work: Work, deadline_s: float
+    ) -> Completed | Refused | Interrupted | Declined:
         """Run a statement on the transaction's connection, and retry while the target is busy."""
         for attempt in range(MAX_ATTEMPTS):
             if self._abort_cause:
--- a/tests/entry/test_large_fleet.py
+++ b/tests/entry/test_large_fleet.py
@@ -87,6 +87,14 @@
     await found.close()
 
 
+def readiness(host: Host, since_s: float) -> str:
+    """Say why a host is not ready."""
+    return (
+        f"{now_s() - since_s:.2f} s, outdated {host.is_outdated}, cut off {host.is_cut_off}, "
+        f"lease {host.primary_lease.is_valid}, configured {host._is_configured}"
+    )
+
+
 async def until(condition, within_s: float) -> None:
     """Wait until a condition is true."""
     deadline_s = now_s() + within_s
@@ -127,7 +135,8 @@
     host = fleet.others[0]
     host._operators_follower._on_change = lambda *_: None
     fleet.configure(9)
+    asked_s = now_s()
     await asyncio.sleep(1.0)
-    assert host.is_ready
+    assert host.is_ready, readiness(host, asked_s)
     await until(lambda: host.is_outdated and not host.is_ready, APPLY_WITHIN_S - 1.0)
     assert all(other.is_ready for other in fleet.hosts.values() if other is not host)
--- a/tests/entry/test_shutdown.py
+++ b/tests/entry/test_shutdown.py
@@ -68,7 +68,9 @@
         self.within_s = within_s
         self.world.share = 1000
         self.world.connections._link = TimedLink(self.world.targets)
-        self.host = SimpleNamespace(session_context=self.world.context, leave=self._leave)
+        self.host = SimpleNamespace(
+            hosts_work=False, session_context=self.world.context, leave=self._leave
+        )
         self.daemon = Daemon(
             self.host, self.server, "", within_s, lambda: None, DecisionLog("test")
         )
