Keep a customer far above its rate from flooding the owners of the rate

Cause: with more than 15 hosts, three of them own a customer's rate. Excluded: the rate itself (owners had tokens), the pool hosts (refusals are of the rate, PW2001). Change: in a shortage a host without a share asks one owner every 0.15 s for the tokens of all requests until the next time and refuses the others at once; owners lend it whole tokens.

--- a/libs/limits/src/pistachiowinch/limits/rates.py
+++ b/libs/limits/src/pistachiowinch/limits/rates.py
@@ -20,6 +20,7 @@
 from pistachiowinch.base.logs import part_logger
 from pistachiowinch.base.metrics import Metrics
 from pistachiowinch.limits.bucket import (
+    EPSILON_TOKENS,
     LOAN_COUNTED_S,
     LOAN_USABLE_S,
     NO_TOLERANCE,
@@ -47,6 +48,13 @@
 MAX_ROUND_PAUSE_S = 0.02
 # Requests of a customer for whom no peer could lend tokens are refused at once for this long.
 EXHAUSTED_BACKOFF_S = 0.1
+# While a customer asks for more than its rate, a host without a share of it asks one owner at this
+# interval for the tokens of all requests until the next time, and refuses the others at once.
+# Otherwise rounds of many hosts for each request would keep the owners busy.
+SCARCE_ROUND_INTERVAL_S = 0.15
+SCARCE_ROUND_JITTER = 1.0 / 3.0
+# Time after the last shortage in which a customer counts as asking for more than its rate.
+SCARCE_RETENTION_S = 1.0
 # A round that starts this long before the end of a wait can still obtain tokens: twice the longest
 # round trip within a site.
 FINAL_ROUND_LEAD_S = 0.003
@@ -163,6 +171,7 @@
         self.last_round_s = -math.inf
         self.no_borrowing_until_s = -math.inf
         self.exhausted_until_s = -math.inf
+        self.scarce_until_s = -math.inf
         self.is_report_due = False
         self.is_refill_due = False
         self.is_removed = False
@@ -377,10 +386,7 @@
         # start with a full share while borrowers can still spend lent tokens.
         state.is_removed = True
         state.bucket.configure(RateLimit(0.0, 0.0), state.bucket.share, now_s())
-        while state.waiters:
-            waiter = state.pop_waiter()
-            if not waiter.done():
-                waiter.set_result(None)
+        self._refuse_waiting(state)
 
     def _max_waiters(self, state: _CustomerState) -> int:
         # The whole site cannot provide tokens in time for more requests.
@@ -495,7 +501,11 @@
         try:
             while True:
                 await self._run_round(state, is_urgent)
-                if not self._grant_waiting(state):
+                is_waiting = self._grant_waiting(state)
+                if state.bucket.share <= 0.0 and self._is_scarce(state, is_urgent and is_waiting):
+                    self._refuse_waiting(state)
+                    break
+                if not is_waiting:
                     break
                 if is_urgent:
                     # Even the reserves of the peers did not suffice.
@@ -515,6 +525,26 @@
         if self._grant_waiting(state):
             self._start_rounds(state)
 
+    def _is_scarce(self, state: _CustomerState, is_short: bool = False) -> bool:
+        """Whether the customer lately asked for more than all hosts had.
+
+        :param is_short: whether it does so now.
+        """
+        if is_short:
+            state.scarce_until_s = now_s() + SCARCE_RETENTION_S
+        return now_s() < state.scarce_until_s
+
+    def _refuse_waiting(self, state: _CustomerState) -> None:
+        """Refuse the waiting requests at once, and new ones until the next round is due."""
+        jitter = random.uniform(1.0 - SCARCE_ROUND_JITTER, 1.0 + SCARCE_ROUND_JITTER)
+        state.exhausted_until_s = now_s() + SCARCE_ROUND_INTERVAL_S * jitter
+        if state.waiters:
+            state.scarce_until_s = now_s() + SCARCE_RETENTION_S
+        while state.waiters:
+            waiter = state.pop_waiter()
+            if not waiter.done():
+                waiter.set_result(None)
+
     def _round_pause_s(self, state: _CustomerState, min_pause_s: float) -> float:
         """Return the time until the next round can be expected to obtain tokens."""
         bucket = state.bucket
@@ -575,7 +605,10 @@
     def _prefetch_tokens(self, state: _CustomerState) -> float:
         demand_per_s = min(state.demand.rate_per_s(now_s()), state.bucket.limit.rate_per_s)
         excess_per_s = demand_per_s - state.bucket.generation_per_s
-        tokens = excess_per_s * PREFETCH_S
+        horizon_s = PREFETCH_S
+        if state.bucket.share <= 0.0 and self._is_scarce(state):
+            horizon_s = SCARCE_ROUND_INTERVAL_S
+        tokens = excess_per_s * horizon_s
         # Less than one token cannot be spent, but would be missing at the lenders.
         return tokens if tokens >= 1.0 else 0.0
 
@@ -671,6 +704,9 @@
             amount *= PROBE_LOAN_FRACTION
         loan = self._new_number()
         amount = min(amount, request.wanted)
+        if request.is_report_optional and amount > 1.0:
+            # The borrower owns no share that would complete a fraction of a token.
+            amount = math.floor(amount + EPSILON_TOKENS)
         lent = bucket.lend(borrower, loan, amount, now_s(), request.is_report_optional)
         self._counters.count_tokens("lent", lent)
         return BorrowAnswer(loan if lent > 0.0 else 0, lent, bucket.fill_ratio)
--- a/tests/limits/test_rate_owners.py
+++ b/tests/limits/test_rate_owners.py
@@ -62,9 +62,10 @@
             self.escrows[host] = escrow
             self.tasks.append(asyncio.ensure_future(escrow.run()))
 
-    async def spend(self, requests: int, gap_s: float) -> int:
+    async def spend(self, requests: int, gap_s: float, at_once: int = 1) -> int:
         """Send requests of one customer to the hosts in turn.
 
+        :param at_once: requests after which the clock moves on by at least 3 ms.
         :returns: number of requests that got a token.
         """
         loop = asyncio.get_running_loop()
@@ -72,7 +73,8 @@
         for number in range(requests):
             escrow = self.escrows[LARGE[number % len(LARGE)]]
             waits.append(asyncio.ensure_future(escrow.acquire("carp", loop.time() + 0.1)))
-            await asyncio.sleep(gap_s)
+            if gap_s or number % at_once == 0:
+                await asyncio.sleep(gap_s or 0.003)
         results = await asyncio.gather(*waits)
         return sum(result.value_or("granted") is None for result in results)
 
@@ -128,3 +130,26 @@
         await asyncio.sleep(0.2)
     assert fleet.count_sent_messages() - before <= 2 * 10
     fleet.close()
+
+
+async def test_a_customer_at_five_times_its_rate_does_not_keep_the_owners_busy():
+    """Rounds of borrowing for each refused request cost each owner 2,500 messages a second, more
+    than half a core handles, so that the customer got half its rate and others waited too.
+    """
+    rate_per_s = 330.0
+    loop = asyncio.get_running_loop()
+    fleet = Fleet(RateLimit(rate_per_s, rate_per_s))
+    await asyncio.sleep(3.0)
+    # The customer first spends what it has saved; a dozen requests at a time.
+    await fleet.spend(1700, 0.0, 12)
+    before = fleet.network.messages_received.copy()
+    started_s = loop.time()
+    granted = await fleet.spend(3400, 0.0, 12)
+    took_s = loop.time() - started_s
+    owners = owners_from("host-0", LARGE).owners_of("carp")
+    busiest = max(fleet.network.messages_received[host] - before[host] for host in owners)
+    assert 3400 / took_s > 4 * rate_per_s
+    assert busiest / took_s < 600
+    assert granted >= 0.9 * rate_per_s * took_s
+    for task in fleet.tasks:
+        task.cancel()
