--- a/libs/limits/src/pistachiowinch/limits/slot_classes.py
+++ b/libs/limits/src/pistachiowinch/limits/slot_classes.py
@@ -1,5 +1,8 @@
 """Waiting requests of one priority at one target, and what is measured of them."""
 
+import bisect
+import itertools
+import math
 from typing import NamedTuple
 
 from pistachiowinch.limits.fair_queue import FairByDeadline, FairQueue
@@ -14,6 +17,8 @@
 # Customers' loads that are kept before those that have faded are forgotten.
 MAX_KNOWN_LOADS = 256
 FADED_SLOTS = 0.001
+# Time for which the sums of the customers' loads are used; less than most requests take.
+SUMS_AGE_S = 0.005
 
 
 class ClassKey(NamedTuple):
@@ -35,6 +40,10 @@
     """
 
     __slots__ = (
+        "_lead_and_load",
+        "_leads",
+        "_summed_s",
+        "_sums",
         "booked_s",
         "customer_loads",
         "floor_credit_s",
@@ -54,6 +63,10 @@
         self.floor_credit_s = 0.0
         # Loop time up to which callers that were refused are expected back.
         self.booked_s = 0.0
+        self._summed_s = -math.inf
+        self._lead_and_load: dict[str, tuple[float, float]] = {}
+        self._leads: list[float] = []
+        self._sums: list[float] = []
 
     @property
     def service_s(self) -> float:
@@ -79,12 +92,25 @@
 
         :param virtual_lead: by how much the request starts after the newest one that was served.
         """
-        lead_of = self.queue.customer_lead
-        all_slots = passing_slots = 0.0
-        for name, load in self.customer_loads.items():
-            slots = load.at(at_s)
-            all_slots += slots
-            if name != customer and lead_of(name) < virtual_lead:
-                passing_slots += slots
+        if at_s >= self._summed_s + SUMS_AGE_S:
+            self._summed_s = at_s
+            self._sum_loads(at_s)
+        if not self._sums:
+            return 0.0
+        slots = self._sums[bisect.bisect_left(self._leads, virtual_lead)]
+        own_lead, own_slots = self._lead_and_load.get(customer, (math.inf, 0.0))
+        if own_lead < virtual_lead:
+            slots -= own_slots
         # The customers' parts change slowly, the load of all of them at once.
-        return self.load.at(at_s) * passing_slots / all_slots if all_slots > 0.0 else 0.0
+        return self.load.at(at_s) * max(slots, 0.0) / self._sums[-1]
+
+    def _sum_loads(self, at_s: float) -> None:
+        """Sum the customers' loads in the order in which their next requests start."""
+        lead_of = self.queue.customer_lead
+        self._lead_and_load = {
+            name: (lead_of(name), load.at(at_s)) for name, load in self.customer_loads.items()
+        }
+        ordered = sorted(self._lead_and_load.values())
+        self._leads = [lead for lead, _ in ordered]
+        sums = list(itertools.accumulate((slots for _, slots in ordered), initial=0.0))
+        self._sums = sums if sums[-1] > 0.0 else []
--- a/libs/limits/src/pistachiowinch/limits/slot_queue.py
+++ b/libs/limits/src/pistachiowinch/limits/slot_queue.py
@@ -187,8 +187,7 @@
             kind.queue.activate(demand.customer)
             return self._start(demand, kind, at_s)
         request = self._queued(demand, kind)
-        # Before the first sample nothing says how many can be served in time.
-        if self._slot_time.is_measured or not self._slots:
+        if self._is_measured(kind) or not self._slots:
             wait_s = ADMISSION_WAIT_SHARE * self._wait_s(request, at_s)
             if at_s + wait_s + kind.service_s > request.deadline_s:
                 return self._refuse(demand, kind, OVERLOAD, at_s)
@@ -296,9 +295,7 @@
         kind = request.kind
         entry = kind.queue.insert(request)
         self._waiting += 1
-        self._entry_numbers += 1
-        latest_start_s = min(request.deadline_s - kind.service_s, request.demand.deadline_s)
-        heapq.heappush(self._latest_starts, (latest_start_s, self._entry_numbers, entry))
+        self._push_latest_start(entry, request.deadline_s - kind.service_s)
         if kind.queue.is_customer_full(request.customer):
             self._remove(kind.queue.newest(request.customer), QUEUE_FULL, at_s)
         if self._waiting > MAX_WAITING_REQUESTS:
@@ -329,6 +326,10 @@
             request = entry.request
             entry.future.set_result(self._refuse(request.demand, request.kind, reason, at_s))
 
+    def _push_latest_start(self, entry: QueueEntry, latest_start_s: float) -> None:
+        self._entry_numbers += 1
+        heapq.heappush(self._latest_starts, (latest_start_s, self._entry_numbers, entry))
+
     def _give_up(self, entry: QueueEntry, at_s: float) -> None:
         is_too_late = at_s >= entry.request.demand.deadline_s
         self._remove(entry, TOO_LATE if is_too_late else OVERLOAD, at_s)
@@ -380,6 +381,18 @@
 
     # Expected times
 
+    def _is_measured(self, kind: PriorityClass | None) -> bool:
+        """Tell whether the slot time of the first class is known.
+
+        Before that nothing says how many requests can be served in time; it is served next.
+
+        :param kind: class of a new request.
+        """
+        for other in self._classes:
+            if other is kind or not other.queue.is_empty:
+                return other.slot_time.is_measured
+        return True
+
     def _wait_s(self, request: _Waiting, at_s: float) -> float:
         """Return the time until a new request would get a slot."""
         kind = request.kind
@@ -412,7 +425,7 @@
         :param passing_slots: load of later requests that are also served before it.
         """
         start_s = expected_start_s(busy_s, above_s + before_s, passing_slots, MIN_SLOTS)
-        if above_s > 0.0 and self._has_floor(kind) and self._slots > 0:
+        if self._slots > 0 and self._has_floor(kind):
             floor_slots = FLOOR_SHARE * self._slots
             start_s = min(start_s, busy_s[0] + (before_s + kind.service_s) / floor_slots)
         return start_s
@@ -486,7 +499,7 @@
 
     def _review(self, at_s: float) -> None:
         """Refuse waiting requests that others have pushed too far back to be answered in time."""
-        if not self._slot_time.is_measured:
+        if not self._is_measured(None):
             self._request_review(at_s)
             return
         busy_s = self._busy_s(at_s)
@@ -535,7 +548,13 @@
         at_s = now_s()
         while self._latest_starts and self._latest_starts[0][0] <= at_s:
             _, _, entry = heapq.heappop(self._latest_starts)
-            if not entry.future.done():
+            if entry.future.done():
+                continue
+            # Slot times may have become shorter since it was queued.
+            latest_start_s = entry.request.deadline_s - entry.request.kind.service_s
+            if latest_start_s > at_s:
+                self._push_latest_start(entry, latest_start_s)
+            else:
                 self._give_up(entry, at_s)
         self._dispatch(at_s)
         if self._review_due_s <= at_s:
--- a/tests/limits/test_slot_queue.py
+++ b/tests/limits/test_slot_queue.py
@@ -110,8 +110,9 @@
     """After an outage all callers return together, are refused together and return together."""
     loads = [Load(SlotQueue(SLOTS, 1), 3), Load(FifoSlots(SLOTS))]
     for load in loads:
-        for number in range(500):
-            kind = load.random.choices(KINDS, [kind.share for kind in KINDS])[0]
+        kinds = [A] * 75 + [B] * 75 + [C] * 350
+        load.random.shuffle(kinds)
+        for number, kind in enumerate(kinds):
             load.start(kind, CUSTOMERS[number % 81])
         await asyncio.gather(*load.tasks)
     load, baseline = loads
@@ -161,9 +162,14 @@
 
 async def test_request_that_newcomers_push_back_is_refused_before_its_objective():
     """A request of low priority waits to its objective though others have taken its turn."""
-    queue, grants = await full_queue()
+    queue, (grant,) = await full_queue()
+    for kind in (A, C):
+        # The slot times of both priorities are known.
+        await sleep_s(C.work_s)
+        queue.release(grant)
+        grant = await queue.acquire(demand("holder", kind))
     await sleep_s(C.work_s)
-    queue.release(grants[0])
+    queue.release(grant)
     await queue.acquire(demand("holder"))
     low = start(queue)
     await sleep_s(0.01)
