--- a/libs/sessions/src/pistachiowinch/sessions/zone_placement.py
+++ b/libs/sessions/src/pistachiowinch/sessions/zone_placement.py
@@ -30,10 +30,10 @@
 FALL_PER_S = 1.0
 # Longest interval that one decision may account for.
 MAX_STEP_S = 0.5
-# Added to another zone's wait as a part of it: its own requests come first, and the knowledge of a
-# queue that grows is late.
+# Part of another zone's wait that is added to it: its own requests come first, and the knowledge of
+# a queue that grows is late.
 QUEUE_RESERVE = 1.0
-# Some requests stay, so that the zone's recovery is seen.
+# Some requests stay, so that the recovery of the own zone is noticed.
 MAX_SHARE = 0.95
 # Customers' requests move one after the other within this part of the share's range, so that a
 # large customer does not move all at once.
@@ -196,11 +196,11 @@
         """Whether a read that replicas may run should be kept from the primary.
 
         The primary's slots belong to work that only it can run. A read may use them while nothing
-        is known to wait there and each replica is expected to be slower by a margin.
+        waits there by a fresh report and each replica is expected to be slower by a margin.
         """
         if not replicas:
             return False
-        if not self._loads.is_known(primary.name) or self._loads.has_waiting(primary.name):
+        if self._loads.belief(primary.name) < 1.0 or self._loads.has_waiting(primary.name):
             return True
         costs = self.costs_s([primary, *replicas])
         margin_s = PRIMARY_MARGIN_S * self._cost.speed_weight
--- a/tests/sessions/test_zone_placement.py
+++ b/tests/sessions/test_zone_placement.py
@@ -226,3 +226,5 @@
     await host.firsts(100)
     assert host.placement.reads_leave_primary(TARGETS[0], TARGETS[1:]) is is_left
     assert not host.placement.reads_leave_primary(TARGETS[0], [])
+    await sleep_s(5.0)
+    assert host.placement.reads_leave_primary(TARGETS[0], TARGETS[1:])
