--- a/libs/sessions/src/pistachiowinch/sessions/target_loads.py
+++ b/libs/sessions/src/pistachiowinch/sessions/target_loads.py
@@ -270,7 +270,7 @@
     def is_failing(self, target: str) -> bool:
         """Whether the target fails so many requests that it should get only a few."""
         state = self._states.get(target)
-        if state is None:
+        if state is None or not state.failure_share:
             return False
         threshold = RECOVERED_SHARE if state.is_failing else FAILING_SHARE
         state.is_failing = state.aged_failure_share() >= threshold
--- a/libs/sessions/src/pistachiowinch/sessions/zone_placement.py
+++ b/libs/sessions/src/pistachiowinch/sessions/zone_placement.py
@@ -30,17 +30,17 @@
 FALL_PER_S = 1.0
 # Longest interval that one decision may account for.
 MAX_STEP_S = 0.5
-# Added to another zone's wait as a part of it: its own requests come first, and the knowledge of a
-# queue that grows is late.
+# Part of another zone's wait that is added to it: its own requests come first, and the knowledge of
+# a queue that grows is late.
 QUEUE_RESERVE = 1.0
-# Some requests stay, so that the zone's recovery is seen.
+# Some requests stay, so that the recovery of the own zone is noticed.
 MAX_SHARE = 0.95
 # Customers' requests move one after the other within this part of the share's range, so that a
 # large customer does not move all at once.
 CUSTOMER_SPREAD = 0.3
 CUSTOMER_BUCKETS = 1024
-# While another zone's load is unknown it counts as no better than this one's. A request may inquire;
-# its chance grows to the maximum with what would be gained if the other zone were idle.
+# An unknown load in another zone counts as no better than this zone's. A request may inquire;
+# its chance grows up to the maximum with the gain from an idle target.
 FULL_INQUIRY_GAIN_S = 0.1
 MAX_INQUIRY_CHANCE = 0.25
 # Time for which opening a connection occupies a slot; smaller differences are not worth one.
@@ -157,12 +157,14 @@
         if home and away:
             is_leaving = self._leaves(state, customer, home, away, costs)
         first = self._choose(away if is_leaving else home, costs, customer)
-        for target in candidates:
-            if target not in usable and self._random.random() < PROBE_SHARE:
-                first = target
+        if usable is not candidates:
+            for target in candidates:
+                if target not in usable and self._random.random() < PROBE_SHARE:
+                    first = target
         state.note(first.availability_zone != self._own_zone)
         rest = [target for target in candidates if target is not first]
-        rest.sort(key=lambda target: (target not in usable, costs[target.name]))
+        # A failing target's cost includes its failures.
+        rest.sort(key=lambda target: costs[target.name])
         return [first, *rest]
 
     def costs_s(self, candidates: Sequence[Target]) -> dict[str, float]:
@@ -194,11 +196,11 @@
         """Whether a read that replicas may run should be kept from the primary.
 
         The primary's slots belong to work that only it can run. A read may use them while nothing
-        is known to wait there and each replica is expected to be slower by a margin.
+        waits there by a fresh report and each replica is expected to be slower by a margin.
         """
         if not replicas:
             return False
-        if not self._loads.is_known(primary.name) or self._loads.has_waiting(primary.name):
+        if self._loads.belief(primary.name) < 1.0 or self._loads.has_waiting(primary.name):
             return True
         costs = self.costs_s([primary, *replicas])
         margin_s = PRIMARY_MARGIN_S * self._cost.speed_weight
