Import at the start only what the first statement needs

Cause: imports took most of a start: 463 modules. prometheus_client loads an HTTP server and more, though metrics are first read later; reactivex served two lists of subscribers; logbook served records that a start seldom writes; asyncio loads TLS, which nothing here uses.

Tests read the public value of a counter instead of a private attribute of prometheus_client.

--- a/libs/base/src/pistachiowinch/base/logs.py
+++ b/libs/base/src/pistachiowinch/base/logs.py
@@ -1,52 +1,43 @@
-"""Loggers for each component, and their handlers."""
+"""Loggers for each component, which load ``logbook`` with their first record."""
 
-import sys
-from typing import TextIO
+from collections.abc import Callable
+from typing import Any
 
-import logbook
-import msgspec
+__all__ = ["PartLogger", "part_logger", "set_up_later"]
 
-__all__ = ["JsonLinesHandler", "make_handler", "part_logger"]
+_set_ups: list[Callable[[], object]] = []
 
-_TEXT_FORMAT = (
-    "{record.time:%Y-%m-%dT%H:%M:%S} {record.level_name} [{record.channel}] {record.message}"
-)
 
+def set_up_later(set_up: Callable[[], object]) -> None:
+    """Call a function before the first record is written, which installs the handlers."""
+    _set_ups.append(set_up)
 
-def part_logger(part: str) -> logbook.Logger:
-    """Return the logger of one component.
 
-    :param part: channel name of the component's records, such as ``"roster"``.
-    """
-    return logbook.Logger(part)
+class PartLogger:
+    """A ``logbook.Logger`` that is created when it is first used.
 
+    :param part: channel name of the component's records.
+    """
 
-class JsonLinesHandler(logbook.StreamHandler):
-    """Writes each record as a JSON object on one line."""
+    def __init__(self, part: str) -> None:
+        """Store the name."""
+        self._part = part
 
-    def format(self, record: logbook.LogRecord) -> str:
-        """Return the record as JSON.
+    def __getattr__(self, name: str) -> Any:
+        """Return a method of the logger, such as ``warning``."""
+        if name.startswith("__"):
+            raise AttributeError(name)
+        import logbook
 
-        :param record: the record to format.
-        """
-        fields = {
-            "time": record.time.isoformat(),
-            "level": record.level_name,
-            "part": record.channel,
-            "message": record.message,
-        }
-        return msgspec.json.encode(fields).decode()
+        while _set_ups:
+            _set_ups.pop()()
+        method = self.__dict__[name] = getattr(logbook.Logger(self._part), name)
+        return method
 
 
-def make_handler(level: str, is_json: bool, stream: TextIO | None = None) -> logbook.StreamHandler:
-    """Create a log handler as configured by the settings.
+def part_logger(part: str) -> PartLogger:
+    """Return the logger of one component.
 
-    :param level: lowest level that is written, such as ``"INFO"``.
-    :param is_json: whether to write JSON lines instead of plain text.
-    :param stream: output stream; standard error by default.
-    :raises LookupError: if the level is unknown.
+    :param part: channel name of the component's records, such as ``"roster"``.
     """
-    target = stream or sys.stderr
-    if is_json:
-        return JsonLinesHandler(target, level=level)
-    return logbook.StreamHandler(target, level=level, format_string=_TEXT_FORMAT)
+    return PartLogger(part)
--- a/libs/base/src/pistachiowinch/base/metrics.py
+++ b/libs/base/src/pistachiowinch/base/metrics.py
@@ -1,21 +1,29 @@
 """Counters and gauges of one host, exported by ``prometheus_client``."""
 
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+import functools
+from collections.abc import Iterator
+from typing import TYPE_CHECKING, Any, TypeVar
+
+from pistachiowinch.base.instruments import Counter, Gauge, Histogram, Instrument
+
+if TYPE_CHECKING:
+    from prometheus_client import CollectorRegistry
 
 __all__ = ["Metrics"]
 
+_I = TypeVar("_I", bound=Instrument)
 _LATENCY_BUCKETS_S = (0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0)
 
 
 class Metrics:
-    """All metrics of one host, in a separate registry.
+    """All metrics of one host, exported through a separate registry.
 
     The global registry is not used, because one process may run several hosts, as the demo does.
     """
 
     def __init__(self) -> None:
         """Create all metrics at zero."""
-        self.registry = CollectorRegistry()
+        self._instruments: list[Instrument] = []
         self.refusals = self._counter("refusals", "Refused requests", "reason")
         self.retries = self._counter("retries", "Retried requests", "reason")
         self.statements = self._counter("statements", "Statements answered", "route")
@@ -32,20 +40,42 @@
         self.has_standing = self._gauge("has_standing", "1 while the host takes new work")
         self.sessions = self._gauge("sessions", "Open caller sessions")
         self.queue_length = self._gauge("queue_length", "Waiting requests", "service")
-        self.statement_seconds = Histogram(
-            "pistachiowinch_statement_seconds",
-            "Time from a statement's arrival to its answer",
-            ["route"],
-            buckets=_LATENCY_BUCKETS_S,
-            registry=self.registry,
+        self.statement_seconds = self.add(
+            Histogram(
+                "pistachiowinch_statement_seconds",
+                "Time from a statement's arrival to its answer",
+                ["route"],
+                _LATENCY_BUCKETS_S,
+            )
         )
 
+    def add(self, instrument: _I) -> _I:
+        """Export an instrument with the others, and return it."""
+        self._instruments.append(instrument)
+        return instrument
+
     def _counter(self, name: str, text: str, *labels: str) -> Counter:
-        return Counter(f"pistachiowinch_{name}", text, labels, registry=self.registry)
+        return self.add(Counter(f"pistachiowinch_{name}", text, labels))
 
     def _gauge(self, name: str, text: str, *labels: str) -> Gauge:
-        return Gauge(f"pistachiowinch_{name}", text, labels, registry=self.registry)
+        return self.add(Gauge(f"pistachiowinch_{name}", text, labels))
+
+    def collect(self) -> Iterator[Any]:
+        """Return the families of all metrics, as a collector of ``prometheus_client``."""
+        for instrument in self._instruments:
+            yield from instrument.families()
+
+    @functools.cached_property
+    def registry(self) -> "CollectorRegistry":
+        """Registry of ``prometheus_client`` that exports the metrics; imported at the first use."""
+        from prometheus_client import CollectorRegistry
+
+        registry = CollectorRegistry()
+        registry.register(self)
+        return registry
 
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
+        from prometheus_client import generate_latest
+
         return generate_latest(self.registry)
--- a/libs/fleet/src/pistachiowinch/fleet/primaries.py
+++ b/libs/fleet/src/pistachiowinch/fleet/primaries.py
@@ -2,10 +2,8 @@
 
 from collections.abc import Mapping
 
-from reactivex import Observable
-from reactivex.subject import Subject
-
 from pistachiowinch.base.decisions import DecisionLog
+from pistachiowinch.base.signals import Signal
 from pistachiowinch.fleet.records import PrimaryRecord
 
 __all__ = ["PrimaryTable", "is_newer"]
@@ -32,10 +30,10 @@
         self._log = log
         self._records: dict[str, PrimaryRecord] = {}
         self._registry: dict[str, str] = {}
-        self._changes: Subject[str] = Subject()
+        self._changes: Signal[str] = Signal()
 
     @property
-    def changes(self) -> Observable[str]:
+    def changes(self) -> Signal[str]:
         """Emits the name of each service whose primary or epoch changes."""
         return self._changes
 
--- a/libs/groups/src/pistachiowinch/groups/detection.py
+++ b/libs/groups/src/pistachiowinch/groups/detection.py
@@ -2,10 +2,9 @@
 
 from typing import NamedTuple
 
-from reactivex.abc import DisposableBase
-
 from pistachiowinch.base.clock import now_s
 from pistachiowinch.base.hashing import rendezvous_order
+from pistachiowinch.base.signals import Subscription
 from pistachiowinch.groups.site import SiteView
 from pistachiowinch.groups.tracker import GroupTracker
 from pistachiowinch.peering.interfaces import MembershipView
@@ -57,7 +56,7 @@
         self._site = site
         self._prefix = suspicion_name(tracker.service, "")
         self._suspected_s: dict[str, float] = {}
-        self._subscription: DisposableBase = membership.heartbeats.subscribe(self._receive)
+        self._subscription: Subscription = membership.heartbeats.subscribe(self._receive)
 
     def close(self) -> None:
         """Unsubscribe from the heartbeats."""
--- a/libs/groups/src/pistachiowinch/groups/monitor.py
+++ b/libs/groups/src/pistachiowinch/groups/monitor.py
@@ -3,11 +3,11 @@
 import asyncio
 from typing import NamedTuple
 
-from reactivex import Observable
 from returns.pipeline import is_successful
 
 from pistachiowinch.base.clock import now_s
 from pistachiowinch.base.identity import NO_INCARNATION
+from pistachiowinch.base.signals import Signal
 from pistachiowinch.groups.detection import FailureVotes, Vote
 from pistachiowinch.groups.promotion import Promoter
 from pistachiowinch.groups.site import SiteView
@@ -51,7 +51,7 @@
         votes: FailureVotes,
         promoter: Promoter,
         site: SiteView,
-        heartbeats: "Observable[object]",
+        heartbeats: Signal,
     ) -> None:
         """Use one service's tracker and the peers' heartbeats."""
         self._tracker = tracker
--- a/libs/limits/src/pistachiowinch/limits/counters.py
+++ b/libs/limits/src/pistachiowinch/limits/counters.py
@@ -2,9 +2,8 @@
 
 import weakref
 
-from prometheus_client import Counter
-
 from pistachiowinch.base.codes import Refusal, ResultCode
+from pistachiowinch.base.instruments import Counter
 from pistachiowinch.base.metrics import Metrics
 
 __all__ = ["LimitCounters", "limit_counters"]
@@ -18,17 +17,15 @@
     def __init__(self, metrics: Metrics) -> None:
         """Register the counters; use :func:`limit_counters` instead."""
         self._refusals = metrics.refusals
-        self._tokens = Counter(
-            "pistachiowinch_rate_tokens",
-            "Rate tokens by what happened to them",
-            ["event"],
-            registry=metrics.registry,
+        self._tokens = metrics.add(
+            Counter("pistachiowinch_rate_tokens", "Rate tokens by what happened to them", ["event"])
         )
-        self._permits = Counter(
-            "pistachiowinch_permit_events",
-            "Slot permits and requests by what happened to them",
-            ["event"],
-            registry=metrics.registry,
+        self._permits = metrics.add(
+            Counter(
+                "pistachiowinch_permit_events",
+                "Slot permits and requests by what happened to them",
+                ["event"],
+            )
         )
 
     def refuse(self, code: ResultCode, detail: str) -> Refusal:
--- a/libs/operations/src/pistachiowinch/operations/process_logs.py
+++ b/libs/operations/src/pistachiowinch/operations/process_logs.py
@@ -7,7 +7,7 @@
 
 from logbook.compat import RedirectLoggingHandler
 
-from pistachiowinch.base.logs import make_handler
+from pistachiowinch.base.log_handlers import make_handler
 from pistachiowinch.operations.settings import LogSettings
 
 __all__ = ["process_logs"]
--- a/libs/peering/src/pistachiowinch/peering/interfaces.py
+++ b/libs/peering/src/pistachiowinch/peering/interfaces.py
@@ -2,8 +2,7 @@
 
 from typing import Protocol
 
-from reactivex import Observable
-
+from pistachiowinch.base.signals import Signal
 from pistachiowinch.peering.messages import ReceivedHeartbeat
 
 __all__ = ["MembershipView"]
@@ -13,7 +12,7 @@
     """This host's view of its site."""
 
     @property
-    def heartbeats(self) -> Observable[ReceivedHeartbeat]:
+    def heartbeats(self) -> Signal[ReceivedHeartbeat]:
         """Emits every accepted heartbeat on arrival."""
 
     def last_heartbeat(self, host: str) -> ReceivedHeartbeat | None:
--- a/libs/peering/src/pistachiowinch/peering/membership.py
+++ b/libs/peering/src/pistachiowinch/peering/membership.py
@@ -9,13 +9,11 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import Protocol
 
-from reactivex import Observable
-from reactivex.subject import Subject
-
 from pistachiowinch.base.clock import now_s, sleep_s
 from pistachiowinch.base.identity import NO_INCARNATION, HostIdentity
 from pistachiowinch.base.logs import part_logger
 from pistachiowinch.base.metrics import Metrics
+from pistachiowinch.base.signals import Signal
 from pistachiowinch.links.hosts import HostList
 from pistachiowinch.links.peers import PeerLink
 from pistachiowinch.peering.messages import (
@@ -135,12 +133,12 @@
         self._is_running = False
         # One counter for all peers, so that it keeps growing if a peer is removed and added again.
         self._sequence = _first_sequence(identity.incarnation)
-        self._heartbeats: Subject[ReceivedHeartbeat] = Subject()
+        self._heartbeats: Signal[ReceivedHeartbeat] = Signal()
         link.on_message(Heartbeat, self._receive)
         link.on_message(ShortHeartbeat, self._receive_short)
 
     @property
-    def heartbeats(self) -> Observable[ReceivedHeartbeat]:
+    def heartbeats(self) -> Signal[ReceivedHeartbeat]:
         """Emits every accepted heartbeat on arrival."""
         return self._heartbeats
 
--- a/tests/entry/test_large_fleet.py
+++ b/tests/entry/test_large_fleet.py
@@ -74,7 +74,7 @@
 
     def lose_all(self) -> None:
         """End all hosts without a word to the store, and create their next runs."""
-        for name, host in self.hosts.items():
+        for host in self.hosts.values():
             for task in host._tasks:
                 task.cancel()
         ports = free_ports(HOSTS)
--- a/tests/gateway/test_writes.py
+++ b/tests/gateway/test_writes.py
@@ -305,7 +305,7 @@
     await world.wait_until_replaced(old)
     await sleep_s(1.0)
     counts = [
-        host.metrics.promotions.labels(outcome="promoted")._value.get()
+        host.metrics.promotions.labels(outcome="promoted").value
         for host in world.site.hosts.values()
     ]
     assert sum(counts) == 1
--- a/tests/limits/test_rate_owners.py
+++ b/tests/limits/test_rate_owners.py
@@ -81,7 +81,7 @@
         return sum(
             int(sample.value)
             for host in LARGE
-            for metric in self.links[host].metrics.peer_messages.collect()
+            for metric in self.links[host].metrics.peer_messages.families()
             for sample in metric.samples
             if sample.name.endswith("_total") and sample.labels["direction"] == "sent"
         )
--- a/tests/limits/test_rates.py
+++ b/tests/limits/test_rates.py
@@ -208,7 +208,7 @@
     started_s = now_s()
     assert isinstance(await escrow.acquire("c", now_s() + 0.01), Failure)
     assert now_s() - started_s == pytest.approx(0.01)
-    assert metrics.refusals.labels("rate_exceeded")._value.get() == 2
+    assert metrics.refusals.labels("rate_exceeded").value == 2
 
 
 async def test_planned_stop_returns_borrowed_tokens():
--- a/tests/limits/test_retries.py
+++ b/tests/limits/test_retries.py
@@ -15,4 +15,4 @@
         budget.record_success("c")
     assert budget.try_spend("c") and not budget.try_spend("c")
     assert budget.try_spend("d")
-    assert metrics.refusals.labels("retry_budget_exhausted")._value.get() == 12
+    assert metrics.refusals.labels("retry_budget_exhausted").value == 12
--- a/tests/limits/test_scheduler.py
+++ b/tests/limits/test_scheduler.py
@@ -207,7 +207,7 @@
         refused = [task for task in site.request_tasks | {over} if task.done()]
         assert over.result().failure().code is QUEUE_FULL
         assert not any(task.done() for task in heavy + light)
-        assert site.metrics["a"].refusals.labels("queue_full")._value.get() == 2
+        assert site.metrics["a"].refusals.labels("queue_full").value == 2
         assert len(refused) >= 1
 
 
--- a/tests/peering/test_membership.py
+++ b/tests/peering/test_membership.py
@@ -55,7 +55,7 @@
         self.tasks.pop(host).cancel()
 
     def dropped(self, host, reason):
-        return self.metrics[host].peer_messages.labels("dropped", reason)._value.get()
+        return self.metrics[host].peer_messages.labels("dropped", reason).value
 
     async def stop(self):
         for task in self.tasks.values():
@@ -217,7 +217,7 @@
         last = a.last_heartbeat("b")
         assert (last.heartbeat.config_version, last.heartbeat.store_age_ms) == (version, version)
         assert last.heartbeat.host == "b" and last.received_s > changed_s
-    assert site.metrics["a"].peer_messages.labels("dropped", "unknown_content")._value.get() == 0
+    assert site.metrics["a"].peer_messages.labels("dropped", "unknown_content").value == 0
 
 
 @with_site
@@ -331,4 +331,4 @@
     for task in tasks:
         task.cancel()
     assert heard
-    assert metrics.peer_messages.labels("failed", "hb")._value.get() == 0
+    assert metrics.peer_messages.labels("failed", "hb").value == 0
--- a/tests/peering/test_pynng_link.py
+++ b/tests/peering/test_pynng_link.py
@@ -41,7 +41,7 @@
 
 
 def counted(link, direction, kind):
-    return link.metrics.peer_messages.labels(direction, kind)._value.get()
+    return link.metrics.peer_messages.labels(direction, kind).value
 
 
 async def until(condition):
--- a/tests/sessions/test_catching_up.py
+++ b/tests/sessions/test_catching_up.py
@@ -90,7 +90,7 @@
     await asyncio.sleep(5.0)
     world.primary.work_s = 0.45
     took_s = await read_often(world, 60, 0.1)
-    retries = world.metrics.retries.labels("read")._value.get()
+    retries = world.metrics.retries.labels("read").value
     assert retries < 40
     assert sorted(took_s)[len(took_s) // 2] < 0.6
     work.cancel()
--- a/tests/sessions/test_connections.py
+++ b/tests/sessions/test_connections.py
@@ -78,7 +78,7 @@
     world.primary.max_connections = 0
     asyncio.get_running_loop().call_later(0.4, setattr, world.primary, "max_connections", 4)
     assert isinstance(await Caller(world, "primary")(READ), CompletedStatement)
-    refused = world.metrics.retries.labels("connection_refused")._value.get()
+    refused = world.metrics.retries.labels("connection_refused").value
     assert 2 <= refused <= 4
 
 
@@ -121,7 +121,7 @@
     await idle_caller(WRITE)
     waiting = asyncio.ensure_future(burst(world, 6))
     await asyncio.sleep(EXTRA_PAUSE_S / 2)
-    refused = world.metrics.retries.labels("connection_refused")._value.get()
+    refused = world.metrics.retries.labels("connection_refused").value
     assert 1 <= refused <= MIN_CONNECTION_LIMIT
     assert isinstance(await idle_caller(COMMIT), CompletedStatement)
     assert all(isinstance(reply, CompletedStatement) for reply in await waiting)
--- a/tests/store/test_client.py
+++ b/tests/store/test_client.py
@@ -53,7 +53,7 @@
 
 
 def calls(client, kind, outcome):
-    return client._metrics.store_calls.labels(kind, outcome)._value.get()
+    return client._metrics.store_calls.labels(kind, outcome).value
 
 
 async def test_values_revisions_and_leases_survive_the_wire():
