--- a/libs/base/src/pistachiowinch/base/metrics.py
+++ b/libs/base/src/pistachiowinch/base/metrics.py
@@ -23,6 +23,9 @@
         self.peer_messages = self._counter("peer_messages", "Peer messages", "direction", "kind")
         self.peer_bytes = self._counter("peer_bytes", "Bytes of peer messages", "direction")
         self.promotions = self._counter("promotions", "Promotions by outcome", "outcome")
+        self.usage_windows = self._counter(
+            "usage_windows", "Windows of usage by outcome of their report", "outcome"
+        )
         self.ledger_lookups = self._counter("ledger_lookups", "Outcome look-ups", "outcome")
         self.connections_closed = self._counter(
             "target_connections_closed", "Target connections closed", "reason"
--- a/libs/entry/src/pistachiowinch/entry/host.py
+++ b/libs/entry/src/pistachiowinch/entry/host.py
@@ -15,6 +15,7 @@
 from pistachiowinch.entry.links import EntryLinks, HostAddress
 from pistachiowinch.entry.registry import REREGISTRATION_WAIT_S, TargetRegistry
 from pistachiowinch.entry.shares import Shares
+from pistachiowinch.entry.usage import HostUsage
 from pistachiowinch.fleet.following import PrefixFollower
 from pistachiowinch.fleet.messages import DrainAnswer, DrainRequest, PrimaryNotice
 from pistachiowinch.fleet.primaries import PrimaryTable
@@ -119,6 +120,7 @@
         self._build_fleet()
         self._build_sessions(links)
         self._build_switching(links)
+        self._build_usage(links)
 
     def _build_fleet(self) -> None:
         log = self._log.for_part("fleet")
@@ -286,6 +288,21 @@
         self._membership.heartbeats.subscribe(self._on_heartbeat)
         self._primaries.changes.subscribe(lambda _: self._connections.wake_all())
 
+    def _build_usage(self, links: EntryLinks) -> None:
+        self._usage = HostUsage(
+            self._identity,
+            links,
+            self._peer_link,
+            self._hosts,
+            self._voter_set,
+            self._fleet_follower,
+            lambda: self._is_configured and not self.session_context.is_stopping,
+            self._group_views.rank,
+            self._metrics,
+            self._log.for_part("usage"),
+        )
+        self.session_context.request_counts = self._usage.counts
+
     @property
     def is_ready(self) -> bool:
         """Whether the load balancer should send new callers to this host."""
@@ -319,6 +336,7 @@
             self._supervisor.run,
             self._store_contact.run,
             self._voter_set_manager.run,
+            self._usage.run,
             self._upkeep,
         )
         loop = asyncio.get_running_loop()
@@ -327,7 +345,8 @@
         self._log.write("started", host=self._identity.host, run=run)
 
     async def leave(self) -> None:
-        """Return borrowed rate tokens, leave the fleet and stop."""
+        """Hand over usage counts, return borrowed rate tokens, leave the fleet and stop."""
+        await self._usage.hand_over()
         await self._rates.return_loans()
         self._hosts.resign()
         await self._registration.leave()
--- a/libs/entry/src/pistachiowinch/entry/links.py
+++ b/libs/entry/src/pistachiowinch/entry/links.py
@@ -5,11 +5,12 @@
 
 from pistachiowinch.base.decisions import DecisionLog
 from pistachiowinch.fleet.switching import GroupOrders
+from pistachiowinch.fleet.usage_reports import UsageLink, UsageTerms
 from pistachiowinch.links.statements import StatementLink
 from pistachiowinch.links.store import KeyValue, PollingStore
 from pistachiowinch.sessions.site import SiteConfiguration, SiteView, Target
 
-__all__ = ["EntryLinks", "HostAddress", "StoreDocuments"]
+__all__ = ["EntryLinks", "HostAddress", "StoreDocuments", "UsageDestination"]
 
 
 class HostAddress(NamedTuple):
@@ -41,13 +42,25 @@
         """Decode a target's registry entry; None if it describes no usable target."""
 
 
+class UsageDestination(NamedTuple):
+    """Where and when usage is reported.
+
+    :param create: creates the interface for reports.
+    """
+
+    terms: UsageTerms
+    create: Callable[[DecisionLog], UsageLink]
+
+
 class EntryLinks(NamedTuple):
     """Implementations of the interfaces to the store, the targets and the platform.
 
     :param orders: creates the interface for promotion orders.
+    :param usage: destination of usage reports; None if nobody wants them.
     """
 
     store: PollingStore
     targets: StatementLink
     orders: Callable[[SiteView, DecisionLog], GroupOrders]
     documents: StoreDocuments
+    usage: UsageDestination | None = None
--- a/libs/fleet/src/pistachiowinch/fleet/promotion_lock.py
+++ b/libs/fleet/src/pistachiowinch/fleet/promotion_lock.py
@@ -1,4 +1,7 @@
-"""Distributed lock for ordering promotions, held under a lease with a fencing token."""
+"""Distributed lock for a duty of one host, held under a lease with a fencing token.
+
+Promotions and usage reports have a lock each, so that neither waits for the holder of the other.
+"""
 
 import asyncio
 import math
@@ -7,9 +10,9 @@
 from pistachiowinch.base.decisions import DecisionLog
 from pistachiowinch.fleet.following import PrefixFollower
 from pistachiowinch.fleet.records import (
-    FENCING_TOKEN_KEY,
-    PROMOTION_LOCK_KEY,
+    PROMOTION_LOCK,
     FencingTokenRecord,
+    LockKeys,
     PromotionLockRecord,
     decode_record,
     encode_record,
@@ -42,6 +45,7 @@
     :param run: random number that identifies this run of the host.
     :param log: receives this part's decisions.
     :param records: copy of the fleet's records, which tells when the store was restored.
+    :param keys: where the lock is kept in the store.
     """
 
     def __init__(
@@ -51,8 +55,10 @@
         run: int,
         log: DecisionLog,
         records: PrefixFollower | None = None,
+        keys: LockKeys = PROMOTION_LOCK,
     ) -> None:
         """Create a lock that is not held."""
+        self._keys = keys
         self._records = records
         self._store = store
         self._host = host
@@ -69,10 +75,15 @@
         """Whether an order sent now arrives before the lease expires."""
         return now_s() < self._valid_until_s - ORDER_MARGIN_S
 
+    @property
+    def has_lease(self) -> bool:
+        """Whether this host acquired the lock and has not found its lease expired."""
+        return self._lease != NO_LEASE
+
     @property
     def condition(self) -> Compare:
         """Condition that makes a store transaction fail unless this host still holds the lock."""
-        return Compare(PROMOTION_LOCK_KEY, self._revision)
+        return Compare(self._keys.lock, self._revision)
 
     async def acquire(self) -> bool:
         """Acquire the lock, or renew it if this host still holds it.
@@ -88,30 +99,28 @@
     async def _acquire(self) -> bool:
         if self._lease != NO_LEASE and await self._renew():
             return True
-        current = await self._store.get(PROMOTION_LOCK_KEY)
+        current = await self._store.get(self._keys.lock)
         if current is not None and not self._is_of_previous_run(current):
             return self._log_if_own(current)
-        snapshot = await self._store.read_prefix(FENCING_TOKEN_KEY)
+        snapshot = await self._store.read_prefix(self._keys.token)
         if self._may_lost_lock_be_held(era_of(snapshot.revision)):
             return False
-        token_item = next((i for i in snapshot.items if i.key == FENCING_TOKEN_KEY), None)
+        token_item = next((i for i in snapshot.items if i.key == self._keys.token), None)
         fencing_token = self._next_fencing_token(token_item, era_of(snapshot.revision))
         sent_s = now_s()
         lease = await self._store.grant_lease(LOCK_LEASE_S)
         reply = await self._store.transact(
             [
-                Compare(PROMOTION_LOCK_KEY, current.mod_revision if current is not None else 0),
-                Compare(
-                    FENCING_TOKEN_KEY, token_item.mod_revision if token_item is not None else 0
-                ),
+                Compare(self._keys.lock, current.mod_revision if current is not None else 0),
+                Compare(self._keys.token, token_item.mod_revision if token_item is not None else 0),
             ],
             [
                 Put(
-                    PROMOTION_LOCK_KEY,
+                    self._keys.lock,
                     encode_record(PromotionLockRecord(self._host, self._run, fencing_token)),
                     lease,
                 ),
-                Put(FENCING_TOKEN_KEY, encode_record(FencingTokenRecord(fencing_token))),
+                Put(self._keys.token, encode_record(FencingTokenRecord(fencing_token))),
             ],
         )
         if not reply.succeeded:
--- a/libs/fleet/src/pistachiowinch/fleet/records.py
+++ b/libs/fleet/src/pistachiowinch/fleet/records.py
@@ -1,6 +1,6 @@
 """Records that the hosts keep in the store, their keys and their encoding."""
 
-from typing import TypeVar
+from typing import NamedTuple, TypeVar
 
 import msgspec
 
@@ -13,19 +13,25 @@
     "GROUPS_PREFIX",
     "HOSTS_PREFIX",
     "MEMBERS_PREFIX",
+    "PROMOTION_LOCK",
     "PROMOTION_LOCK_KEY",
+    "USAGE_LOCK",
+    "USAGE_REPORTS_PREFIX",
     "VOTER_SET_KEY",
     "EraRecord",
     "FencingTokenRecord",
     "HostRecord",
+    "LockKeys",
     "PrimaryRecord",
     "PromotionLockRecord",
+    "UsageReportRecord",
     "VoterSetRecord",
     "decode_record",
     "encode_record",
     "group_key",
     "host_key",
     "member_key",
+    "usage_report_key",
 ]
 
 T = TypeVar("T")
@@ -38,6 +44,19 @@
 PROMOTION_LOCK_KEY = "fleet/duty"
 FENCING_TOKEN_KEY = "fleet/fence"
 ERA_KEY = "fleet/era"
+# Outside the fleet's prefix, because only the host that reports usage reads these records.
+USAGE_REPORTS_PREFIX = "usage/reports/"
+
+
+class LockKeys(NamedTuple):
+    """Keys of a lock's record and of its newest fencing token."""
+
+    lock: str
+    token: str
+
+
+PROMOTION_LOCK = LockKeys(PROMOTION_LOCK_KEY, FENCING_TOKEN_KEY)
+USAGE_LOCK = LockKeys("fleet/usage/duty", "fleet/usage/fence")
 
 
 class HostRecord(msgspec.Struct, frozen=True):
@@ -86,7 +105,7 @@
 
 
 class PromotionLockRecord(msgspec.Struct, frozen=True):
-    """Holder of the promotion lock; the store removes the record when the lease expires."""
+    """Holder of a lock; the store removes the record when the lease expires."""
 
     holder: str
     run: int
@@ -94,7 +113,7 @@
 
 
 class FencingTokenRecord(msgspec.Struct, frozen=True):
-    """Newest fencing token of the promotion lock; it has no lease and therefore never expires."""
+    """Newest fencing token of a lock; it has no lease and therefore never expires."""
 
     fence: int
 
@@ -105,6 +124,18 @@
     era: int
 
 
+class UsageReportRecord(msgspec.Struct, frozen=True):
+    """The report of one window; every report that is sent for the window repeats it.
+
+    :param counts: number of requests by customer.
+    :param era: the store's era in which the report was recorded.
+    """
+
+    window: int
+    counts: dict[str, int]
+    era: int = 0
+
+
 def host_key(host: str) -> str:
     """Return the key of a host's record."""
     return HOSTS_PREFIX + host
@@ -120,6 +151,11 @@
     return GROUPS_PREFIX + service
 
 
+def usage_report_key(window: int) -> str:
+    """Return the key of a window's usage report."""
+    return f"{USAGE_REPORTS_PREFIX}{window}"
+
+
 def encode_record(record: msgspec.Struct) -> bytes:
     """Encode a record for the store."""
     return msgspec.json.encode(record)
--- a/libs/sessions/src/pistachiowinch/sessions/context.py
+++ b/libs/sessions/src/pistachiowinch/sessions/context.py
@@ -14,6 +14,7 @@
 from pistachiowinch.sessions.health import TargetHealth
 from pistachiowinch.sessions.outages import ServiceOutages
 from pistachiowinch.sessions.primary_work import PrimaryWork
+from pistachiowinch.sessions.request_counting import NoRequestCounts, RequestCounts
 from pistachiowinch.sessions.shutdown import NO_SHUTDOWN, Shutdown
 from pistachiowinch.sessions.site import SiteView
 
@@ -50,6 +51,7 @@
     :param has_lease: returns whether this host holds a valid lease on its view of the primaries.
     :param is_stopping: whether the host refuses new operations.
     :param shutdown: limits of statements after a stop signal.
+    :param request_counts: counts the requests that began to run, for the usage reports.
     :param is_outdated: returns whether a newer configuration is in force that this host lacks.
     """
 
@@ -66,6 +68,7 @@
     is_stopping: bool = False
     shutdown: Shutdown = NO_SHUTDOWN
     is_outdated: Callable[[], bool] = lambda: False
+    request_counts: RequestCounts = field(default_factory=NoRequestCounts)
     outages: ServiceOutages = field(default_factory=ServiceOutages)
     freshness: dict[str, FreshnessLog] = field(default_factory=dict)
 
--- a/libs/sessions/src/pistachiowinch/sessions/exchanges.py
+++ b/libs/sessions/src/pistachiowinch/sessions/exchanges.py
@@ -12,6 +12,7 @@
 from pistachiowinch.sessions.alignment import align
 from pistachiowinch.sessions.borrowing import BorrowedConnection
 from pistachiowinch.sessions.context import SessionContext
+from pistachiowinch.sessions.request_counting import count_request
 from pistachiowinch.sessions.work import Operation, Work
 
 __all__ = ["MAX_ATTEMPTS", "RETRY_PAUSE_S", "exchange"]
@@ -56,9 +57,11 @@
         if sent_s >= deadline_s:
             return Interrupted(False, "no time was left")
         operation.rate_token.is_spent = True
+        counted = count_request(context.request_counts, operation, work)
         outcome = await pooled.connection.run(
             work.request_id, work.statement, min_position, remaining_s(deadline_s)
         )
+        counted.note_outcome(outcome)
         _record_outcome(context, borrowed, outcome, sent_s, work, min_position)
         return outcome
     finally:
--- a/libs/sessions/src/pistachiowinch/sessions/work.py
+++ b/libs/sessions/src/pistachiowinch/sessions/work.py
@@ -52,12 +52,16 @@
 
 
 class RateToken:
-    """Rate token of an operation, which is spent once a statement was sent to a target."""
+    """Rate token of an operation, which is spent once a statement was sent to a target.
 
-    __slots__ = ("is_spent",)
+    :ivar is_counted: whether the operation is counted as a request that began to run.
+    """
+
+    __slots__ = ("is_counted", "is_spent")
 
     def __init__(self) -> None:
         """Create a token that is not spent."""
+        self.is_counted = False
         self.is_spent = False
 
 
