--- a/libs/entry/src/pistachiowinch/entry/host.py
+++ b/libs/entry/src/pistachiowinch/entry/host.py
@@ -346,8 +346,7 @@
 
     async def leave(self) -> None:
         """Hand over usage counts, return borrowed rate tokens, leave the fleet and stop."""
-        await self._usage.hand_over()
-        await self._rates.return_loans()
+        await asyncio.gather(self._usage.hand_over(), self._rates.return_loans())
         self._hosts.resign()
         await self._registration.leave()
         for task in self._tasks:
--- a/libs/entry/src/pistachiowinch/entry/usage.py
+++ b/libs/entry/src/pistachiowinch/entry/usage.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from pistachiowinch.base.decisions import DecisionLog
+from pistachiowinch.base.hashing import rendezvous_order
 from pistachiowinch.base.identity import HostIdentity
 from pistachiowinch.base.metrics import Metrics
 from pistachiowinch.entry.links import EntryLinks
@@ -58,8 +59,8 @@
         self.counts: RequestCounts = NoRequestCounts()
         if links.usage is None:
             return
-        counts = self.counts = UsageCounts()
         terms = links.usage.terms
+        counts = self.counts = UsageCounts(terms.kept_s)
         self._collector = UsageCollector(
             identity, peer_link, counts, terms.window_s, self._members, log
         )
@@ -92,8 +93,8 @@
         """Give this run's counts to the hosts that may report them, before it ends."""
         if self._collector is not None:
             holder = self._holder()
-            others = sorted(self._voter_set.voters - {holder})
-            await self._collector.hand_over([holder, *others] if holder else others)
+            successors = rendezvous_order("promotion", self._voter_set.voters - {holder})
+            await self._collector.hand_over([holder, *successors] if holder else successors)
 
     def _members(self) -> UsageMembers:
         return UsageMembers(self._hosts.names, self._hosts.absent_for(0.0))
--- a/libs/fleet/src/pistachiowinch/fleet/agreed_time.py
+++ b/libs/fleet/src/pistachiowinch/fleet/agreed_time.py
@@ -3,12 +3,50 @@
 The time of day of a machine may jump by an hour, but its steady clock does not. So one host asks
 the others for their time of day, takes the median and carries it on with its own loop clock. The
 median is right as long as most clocks are. The store and the targets state no time of day.
+
+Each host answers with a time of day that its own steady clock carries on as well, so that a jump
+matters only on hosts that start while it lasts.
 """
 
-from collections.abc import Collection
+import time
+from collections.abc import Callable, Collection
 from typing import NamedTuple
 
-__all__ = ["AgreedTime", "ClockReading"]
+from pistachiowinch.base.clock import now_s
+
+__all__ = ["STEP_LASTS_S", "AgreedTime", "ClockReading", "SteadyTimeOfDay"]
+
+# Larger differences from the steady clock are steps and not slow corrections.
+MAX_SLEW_S = 0.2
+# A step that has lasted this long is taken for a correction. Clocks that jump by mistake are set
+# right sooner.
+STEP_LASTS_S = 600.0
+
+
+class SteadyTimeOfDay:
+    """This host's time of day without recent steps.
+
+    :param read_s: returns the machine's time of day in seconds since the epoch.
+    """
+
+    def __init__(self, read_s: Callable[[], float] = time.time) -> None:
+        """Read the clock."""
+        self._read_s = read_s
+        self._epoch_s = now_s() - read_s()
+        self._stepped_since_s: float | None = None
+
+    def now_s(self) -> float:
+        """Return the time of day in seconds since the epoch."""
+        epoch_s = now_s() - self._read_s()
+        if abs(epoch_s - self._epoch_s) <= MAX_SLEW_S:
+            self._epoch_s = epoch_s
+            self._stepped_since_s = None
+        elif self._stepped_since_s is None:
+            self._stepped_since_s = now_s()
+        elif now_s() - self._stepped_since_s >= STEP_LASTS_S:
+            self._epoch_s = epoch_s
+            self._stepped_since_s = None
+        return now_s() - self._epoch_s
 
 
 class ClockReading(NamedTuple):
--- a/libs/fleet/src/pistachiowinch/fleet/usage_collection.py
+++ b/libs/fleet/src/pistachiowinch/fleet/usage_collection.py
@@ -6,8 +6,8 @@
 
 Failures: a run that is killed loses its requests since the last collection, at most those of one
 window and of the time until the collection. A run that ends as planned hands its counts over first.
-A host that is cut off is asked again for ``COLLECTION_S`` after the window's end; later its share
-is missing from the report.
+A host that is cut off is asked again until a part of the time in which the report is due has
+passed; after that its share is missing from the report.
 """
 
 import asyncio
@@ -21,7 +21,7 @@
 from pistachiowinch.base.clock import now_s, sleep_s
 from pistachiowinch.base.decisions import DecisionLog
 from pistachiowinch.base.identity import HostIdentity
-from pistachiowinch.fleet.agreed_time import AgreedTime, ClockReading
+from pistachiowinch.fleet.agreed_time import AgreedTime, ClockReading, SteadyTimeOfDay
 from pistachiowinch.fleet.usage_counts import UsageCounts
 from pistachiowinch.fleet.usage_messages import (
     UsageAnswer,
@@ -31,13 +31,10 @@
 )
 from pistachiowinch.links.peers import PeerLink, PeerUnreachable
 
-__all__ = ["COLLECTION_S", "CollectedUsage", "UsageCollector", "UsageMembers"]
+__all__ = ["CollectedUsage", "UsageCollector", "UsageMembers"]
 
 # Asks for no window, only for the time of day.
 NO_WINDOW = -1
-# Time from the end of a window until an unanswered host is given up. Leaves more than half of the
-# time until the report is due for the report itself, and for another host if this one dies.
-COLLECTION_S = 4.0
 # An answer over an idle link takes milliseconds, and one over a connection that has to be opened
 # again half a second.
 ANSWER_TIMEOUT_S = 0.7
@@ -84,7 +81,7 @@
     :param window_s: length of a window.
     :param members: returns the hosts of the fleet.
     :param log: receives this part's decisions.
-    :param time_of_day_s: returns this host's own time of day.
+    :param read_clock_s: returns the machine's time of day in seconds since the epoch.
     :ivar agreed: the agreed time, while this host collects.
     """
 
@@ -96,7 +93,7 @@
         window_s: float,
         members: Callable[[], UsageMembers],
         log: DecisionLog,
-        time_of_day_s: Callable[[], float] = time.time,
+        read_clock_s: Callable[[], float] = time.time,
     ) -> None:
         """Register the request handlers."""
         self._identity = identity
@@ -105,7 +102,7 @@
         self._window_s = window_s
         self._members = members
         self._log = log
-        self._time_of_day_s = time_of_day_s
+        self._time_of_day = SteadyTimeOfDay(read_clock_s)
         self._handed_over: OrderedDict[tuple[str, int, int], dict[str, int]] = OrderedDict()
         # Loop time of the epoch, agreed here or learned from the last request.
         self._known_epoch_s: float | None = None
@@ -210,7 +207,7 @@
             return None
 
     def _agree(self, answers: Mapping[str, tuple[UsageAnswer, ClockReading]]) -> None:
-        own = ClockReading(self._time_of_day_s(), now_s())
+        own = ClockReading(self._time_of_day.now_s(), now_s())
         readings = [reading for _, reading in answers.values()] + [own]
         before_s = self.agreed.epoch_s
         members = self._members()
@@ -233,7 +230,7 @@
             start_s = now_s() - request.started_ms_ago / 1000.0
             self._known_epoch_s = start_s - request.window * self._window_s
             counts = self._counts.between(start_s, now_s() - request.ended_ms_ago / 1000.0)
-        time_of_day_ms = int(self._time_of_day_s() * 1000.0)
+        time_of_day_ms = round(self._time_of_day.now_s() * 1000.0)
         return UsageAnswer(self._identity.incarnation, request.window, time_of_day_ms, counts)
 
     async def _on_handover(self, sender: str, message: UsageHandover) -> UsageHandoverAnswer:
--- a/libs/fleet/src/pistachiowinch/fleet/usage_counts.py
+++ b/libs/fleet/src/pistachiowinch/fleet/usage_counts.py
@@ -5,7 +5,8 @@
 and an answer that is repeated adds nothing.
 
 Load pattern: hundreds of customers send some thousand requests a second. A request costs one
-dictionary update and no message; the memory is bounded by ``KEPT_S`` and the number of customers.
+dictionary update and no message; the memory is bounded by the time for which counts are kept and by
+the number of customers.
 """
 
 from collections import deque
@@ -13,23 +14,24 @@
 
 from pistachiowinch.base.clock import now_s
 
-__all__ = ["KEPT_S", "UsageCounts"]
+__all__ = ["PERIOD_S", "UsageCounts"]
 
 # Small compared with a window of seconds, because a request near the edge of a window may be
 # counted in the next one.
 PERIOD_S = 0.01
-# Longer than a window, the time in which its report is due and a change of the reporting host.
-KEPT_S = 40.0
 
 
 class UsageCounts:
     """Requests by customer in short periods; implements ``sessions.RequestCounts``.
 
+    :param kept_s: time after which counts are dropped; longer than a window and the time in which
+        its report is due.
     :param clock: returns the loop time in seconds.
     """
 
-    def __init__(self, clock: Callable[[], float] = now_s) -> None:
+    def __init__(self, kept_s: float, clock: Callable[[], float] = now_s) -> None:
         """Create empty counts."""
+        self._kept_periods = int(kept_s / PERIOD_S)
         self._clock = clock
         self._periods: deque[tuple[int, dict[str, int]]] = deque()
 
@@ -67,6 +69,6 @@
         return {customer: count for customer, count in totals.items() if count}
 
     def _drop_old(self, newest: int) -> None:
-        oldest = newest - int(KEPT_S / PERIOD_S)
+        oldest = newest - self._kept_periods
         while self._periods[0][0] < oldest:
             self._periods.popleft()
--- a/libs/fleet/src/pistachiowinch/fleet/usage_reports.py
+++ b/libs/fleet/src/pistachiowinch/fleet/usage_reports.py
@@ -31,7 +31,7 @@
     encode_record,
     usage_report_key,
 )
-from pistachiowinch.fleet.usage_collection import COLLECTION_S, UsageCollector
+from pistachiowinch.fleet.usage_collection import UsageCollector
 from pistachiowinch.links.store import (
     Compare,
     Delete,
@@ -49,9 +49,12 @@
 ATTEMPT_INTERVAL_S = 1.0
 # Each candidate waits this much longer than the one ranked before it.
 RANK_DELAY_S = 0.5
-# Requests that began in a window are answered within this time after its end, which shows whether
-# they ran.
-SETTLING_S = 1.0
+# Part of the time until a report is due. Requests that began in a window are usually answered by
+# then, which shows whether they ran.
+SETTLING_FRACTION = 0.1
+# Part of that time after which hosts without an answer are given up. The rest is for the report
+# itself, and for another host if this one dies.
+COLLECTION_FRACTION = 0.4
 # Least time for a collection that began late.
 MIN_COLLECTION_S = 1.0
 # Exponential backoff of calls to the platform and of writes to the store.
@@ -79,6 +82,11 @@
     window_s: float
     due_s: float
 
+    @property
+    def kept_s(self) -> float:
+        """Time for which a host keeps its counts."""
+        return 2.0 * (self.window_s + self.due_s)
+
 
 class UsageLink(Protocol):
     """Sends reports to the platform."""
@@ -239,7 +247,7 @@
 
     def _due_windows(self) -> list[int]:
         """Return the windows that have ended, and whose reports are still wanted."""
-        last = self._collector.window_at(now_s() - SETTLING_S) - 1
+        last = self._collector.window_at(now_s() - SETTLING_FRACTION * self._terms.due_s) - 1
         first = self._collector.window_at(now_s() - self._terms.due_s - self._terms.window_s) + 1
         return [window for window in range(first, last + 1) if window not in self._outcomes]
 
@@ -287,7 +295,8 @@
 
     async def _collect(self, window: int) -> bytes:
         end_s = self._collector.span_s(window)[1]
-        until_s = max(end_s + COLLECTION_S, now_s() + MIN_COLLECTION_S)
+        given_up_s = end_s + COLLECTION_FRACTION * self._terms.due_s
+        until_s = max(given_up_s, now_s() + MIN_COLLECTION_S)
         collected = await self._collector.collect(window, until_s)
         if collected.missing:
             self._log.write("usage_incomplete", window=window, missing=collected.missing[:20])
@@ -325,8 +334,11 @@
                     self._log.write("usage_not_recorded", window=window, fence=self._term)
                     return False
                 # An earlier attempt whose answer was lost, or an earlier holder, recorded it.
+                if decode_record(found, UsageReportRecord) is None:
+                    self._log.write("record_unreadable", key=key, revision=found.mod_revision)
+                    return False
                 self._recorded[window] = found.value
-                return decode_record(found, UsageReportRecord) is not None
+                return True
             except StoreError as error:
                 self._log.write("usage_record_unanswered", window=window, cause=str(error)[:60])
             await sleep_s(delay_s)
