--- a/tests/model/test_checker.py
+++ b/tests/model/test_checker.py
@@ -15,6 +15,7 @@
 from pistachiowinch.model.promotion import PromotionGuard, PromotionSpecification
 from pistachiowinch.model.restoration import RestorationGuard, RestorationSpecification
 from pistachiowinch.model.switchover import SwitchoverGuard, SwitchoverSpecification
+from pistachiowinch.model.usage_reports import UsageReportGuard, UsageReportSpecification
 from pistachiowinch.model.voter_set import VoterSetGuard, VoterSetSpecification
 
 
@@ -31,6 +32,7 @@
     _Case(VoterSetSpecification(), 15),
     _Case(MembershipSpecification(), 17),
     _Case(RestorationSpecification(), 16),
+    _Case(UsageReportSpecification(), 17),
 ]
 
 # Depths within which a violation exists; the number of terms is reduced where two suffice.
@@ -55,6 +57,7 @@
     *(_Case(VoterSetSpecification(guard), 14) for guard in VoterSetGuard),
     *(_Case(MembershipSpecification(guard), 17) for guard in MembershipGuard),
     *(_Case(RestorationSpecification(guard), 14) for guard in RestorationGuard),
+    *(_Case(UsageReportSpecification(guard), 16) for guard in UsageReportGuard),
 ]
 
 
