--- a/tests/fleet/test_usage_reports.py
+++ b/tests/fleet/test_usage_reports.py
@@ -3,6 +3,8 @@
 Windows last 5 s and are due 10 s after their end. Window ``FIRST_WINDOW`` begins at loop time 0.
 """
 
+import asyncio
+
 import pytest
 from fleet.usage_fleet import FIRST_WINDOW, TERMS, UsageFleet
 
@@ -21,7 +23,7 @@
     UsageRequest,
 )
 from pistachiowinch.fleet.usage_reports import KEPT_WINDOWS
-from pistachiowinch.links.store import Put
+from pistachiowinch.links.store import Delete, Put
 
 pytestmark = pytest.mark.looptime
 
@@ -119,19 +121,69 @@
     fleet.platform.check()
 
 
-async def test_a_record_that_takes_effect_late_does_not_replace_the_successors():
-    """platform_lost: the call of a holder that lost the duty is executed seconds later."""
+async def test_a_holder_without_the_store_does_not_send_after_its_successor():
+    """ONE: a report with a lower token must not arrive after one with a higher token."""
     fleet = await fleet_with_counts()
     first = fleet.hosts[fleet.holder]
-    condition = first.lock.condition
+    fleet.platform.refused_until_s = END_S + 6.0
+    await fleet.run_until(END_S + 1.5)
     first.store.is_cut = True
-    await fleet.run_until(END_S + 5.0)
-    key = usage_report_key(WINDOW + 5)
-    late = encode_record(UsageReportRecord(WINDOW + 5, {"carp": 1}))
-    assert not fleet.store.apply_transact([condition], [Put(key, late)]).succeeded
+    await fleet.run_until(END_S + 5 * TERMS.window_s)
+    assert {report.token for report in fleet.platform.reports if report.window >= WINDOW} == {2}
+    assert fleet.platform.counts(WINDOW) == {"carp": 6}
+    fleet.platform.check()
+
+
+async def fleet_with_late_record() -> UsageFleet:
+    """Return a fleet whose holder reported a window while an earlier record of it is under way.
+
+    The earlier one has the counts of three hosts, the reported one those of two, and takes effect
+    at ``END_S + 4``.
+    """
+    fleet = await fleet_with_counts()
+    holder = fleet.hosts[fleet.holder]
+    holder.store.delays_next_s = 3.0
+    await holder.store.has_delayed.wait()
+    holder.is_stopping = True
+    await asyncio.sleep(0.2)
+    fleet.kill("c")
+    holder.is_stopping = False
+    await fleet.run_until(END_S + 3.5)
+    assert fleet.platform.counts(WINDOW) == {"carp": 4}
+    return fleet
+
+
+async def test_a_record_that_takes_effect_late_does_not_replace_the_one_that_was_sent():
+    """platform_lost: a call without an answer is executed seconds later."""
+    fleet = await fleet_with_late_record()
+    await fleet.run_until(END_S + 4.5)
+    fleet.kill(fleet.holder)
+    await fleet.run_until(END_S + TERMS.due_s)
+    assert len(fleet.platform.of_window(WINDOW)) == 2
     fleet.platform.check()
 
 
+async def test_a_record_of_an_earlier_era_does_not_take_effect():
+    """A restored store lost the report that was sent, and a late call must not add another."""
+    fleet = await fleet_with_late_record()
+    fleet.store.apply_transact([], [Delete(usage_report_key(WINDOW))])
+    fleet.store.restore(fleet.store.copy())
+    fleet.kill(fleet.holder)
+    await fleet.run_until(END_S + TERMS.due_s)
+    assert len(fleet.platform.of_window(WINDOW)) == 1
+    fleet.platform.check()
+
+
+async def test_a_window_whose_record_may_have_been_removed_is_left_out():
+    """clock_step on most hosts: windows far ahead were reported, which removed earlier records."""
+    fleet = UsageFleet("a")
+    ahead = UsageReportRecord(WINDOW + KEPT_WINDOWS, {})
+    fleet.store.apply_transact([], [Put(usage_report_key(ahead.window), encode_record(ahead))])
+    await fleet.run_until(END_S + TERMS.due_s)
+    assert fleet.platform.counts(WINDOW) is None
+    assert fleet.platform.counts(WINDOW + 1) == {}
+
+
 async def test_a_lost_answer_of_the_store_does_not_change_the_report():
     """platform_lost: the record is there although the call failed; it is what is sent."""
     fleet = await fleet_with_counts()
--- a/tests/fleet/usage_fleet.py
+++ b/tests/fleet/usage_fleet.py
@@ -88,6 +88,8 @@
         self._store = store
         self.is_cut = False
         self.loses_next_answer = False
+        self.delays_next_s: float | None = None
+        self.has_delayed = asyncio.Event()
 
     def __getattr__(self, name):
         """Return a call that fails while the host is cut off."""
@@ -96,6 +98,12 @@
         async def attempt(*arguments):
             if self.is_cut:
                 raise StoreUnavailable("cut off")
+            if name == "transact" and self.delays_next_s is not None:
+                delay_s, self.delays_next_s = self.delays_next_s, None
+                apply = self._store.apply_transact
+                asyncio.get_running_loop().call_later(delay_s, apply, *arguments)
+                self.has_delayed.set()
+                raise StoreReplyLost("late")
             answer = await call(*arguments)
             if name == "transact" and self.loses_next_answer:
                 self.loses_next_answer = False
