--- a/libs/entry/src/pistachiowinch/entry/host.py
+++ b/libs/entry/src/pistachiowinch/entry/host.py
@@ -354,6 +354,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._peer_link.stop()
         self._orders.close()
+        self._usage.close()
 
     async def _keep_running(self, component: Callable[[], Coroutine]) -> None:
         """Run a component and restart it if it fails; otherwise its loss would go unnoticed."""
--- a/libs/entry/src/pistachiowinch/entry/usage.py
+++ b/libs/entry/src/pistachiowinch/entry/usage.py
@@ -96,6 +96,11 @@
             successors = rendezvous_order("promotion", self._voter_set.voters - {holder})
             await self._collector.hand_over([holder, *successors] if holder else successors)
 
+    def close(self) -> None:
+        """Close the connections to the platform."""
+        if self._reporter is not None:
+            self._reporter.close()
+
     def _members(self) -> UsageMembers:
         return UsageMembers(self._hosts.names, self._hosts.absent_for(0.0))
 
--- a/libs/fleet/src/pistachiowinch/fleet/usage_reports.py
+++ b/libs/fleet/src/pistachiowinch/fleet/usage_reports.py
@@ -100,6 +100,9 @@
         :param fencing_token: the lock's token.
         """
 
+    def close(self) -> None:
+        """Close all connections."""
+
 
 class UsageDuty(NamedTuple):
     """Which host reports.
@@ -168,6 +171,10 @@
         finally:
             self._cancel_tasks()
 
+    def close(self) -> None:
+        """Close the connections to the platform."""
+        self._link.close()
+
     async def _check(self) -> None:
         if not self._duty.is_candidate():
             # The lock is left to expire, and nothing is sent after that.
--- a/tests/entry/test_usage.py
+++ b/tests/entry/test_usage.py
@@ -36,6 +36,9 @@
             self.has_all.set()
         return ReportAnswer.ACCEPTED
 
+    def close(self):
+        """Do nothing, as nothing is open."""
+
 
 async def test_a_host_reports_the_requests_of_its_callers():
     """Duty: what sessions run must reach the platform under the customer's name."""
--- a/tests/platform/test_usage.py
+++ b/tests/platform/test_usage.py
@@ -44,6 +44,7 @@
     reports = PlatformUsageReports(address, BOUNDS, DecisionLog("test"))
     for counts in ({"carp": 2, "dace": 1}, {"dace": 1, "carp": 2}):
         assert await reports.report_usage(7, counts, "host-a", 3) is answer
+    reports.close()
     await runner.cleanup()
     assert received[0] == received[1]
     assert received[0][:2] == ("host-a", "3")
