Give up the usage lock when its condition fails, as after a restored store

A restored store may know the lock and renew its lease, but accepts no condition on a revision of an earlier era. The holder kept the duty then and could record nothing. Found by reading; a test shows it (no report after the restoration before the change).

--- a/libs/fleet/src/pistachiowinch/fleet/promotion_lock.py
+++ b/libs/fleet/src/pistachiowinch/fleet/promotion_lock.py
@@ -85,6 +85,11 @@
         """Condition that makes a store transaction fail unless this host still holds the lock."""
         return Compare(self._keys.lock, self._revision)
 
+    def give_up(self) -> None:
+        """Stop holding the lock, and let its lease expire."""
+        self._lease = NO_LEASE
+        self._valid_until_s = -math.inf
+
     async def acquire(self) -> bool:
         """Acquire the lock, or renew it if this host still holds it.
 
--- a/libs/fleet/src/pistachiowinch/fleet/usage_reports.py
+++ b/libs/fleet/src/pistachiowinch/fleet/usage_reports.py
@@ -338,7 +338,10 @@
                     return True
                 found = await self._store.get(key)
                 if found is None:
+                    # A restored store accepts no condition on a lock of an earlier era, although
+                    # it may know the lock and renew its lease.
                     self._log.write("usage_not_recorded", window=window, fence=self._term)
+                    self._lock.give_up()
                     return False
                 # An earlier attempt whose answer was lost, or an earlier holder, recorded it.
                 if decode_record(found, UsageReportRecord) is None:
--- a/tests/fleet/test_usage_reports.py
+++ b/tests/fleet/test_usage_reports.py
@@ -342,6 +342,18 @@
     fleet.platform.check()
 
 
+async def test_a_holder_goes_on_after_a_restoration_that_kept_its_lock():
+    """A lock of the earlier era can be renewed, but no report can be recorded with it."""
+    fleet = await fleet_with_counts()
+    await fleet.run_until(END_S + 2.0)
+    fleet.store.restore(fleet.store.copy())
+    await fleet.run_until(END_S + 5 * TERMS.window_s)
+    assert fleet.platform.counts(WINDOW) == {"carp": 6}
+    # The windows until the lock was acquired anew are left out.
+    assert fleet.platform.counts(WINDOW + 3) == {}
+    fleet.platform.check()
+
+
 async def test_records_are_removed_after_a_while():
     """The store keeps one short record a window, for the last windows only."""
     fleet = UsageFleet("a")
