--- a/libs/soak/src/pistachiowinch/soak/checker.py
+++ b/libs/soak/src/pistachiowinch/soak/checker.py
@@ -5,11 +5,12 @@
 
 import bisect
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
 from pistachiowinch.base.clock import now_s
 from pistachiowinch.links.statements import Position
+from pistachiowinch.standins.http_orders import UsageReport
 from pistachiowinch.standins.line_service import Commit, Execution, LineTarget
 
 __all__ = ["Attempt", "Checker", "Finding", "Rate"]
@@ -131,6 +132,8 @@
         self._counted_operations: set[int | str] = set()
         self._recent_operations: dict[str, deque[float]] = {name: deque() for name in rates}
         self._last_order = ("", 0)
+        self._last_report = ("", 0)
+        self._usage: dict[int, Mapping[str, int]] = {}
 
     def report(self, rule: str, detail: str) -> None:
         """Record a violated guarantee."""
@@ -268,13 +271,25 @@
 
     def on_promotion_order(self, holder: str, fencing_token: int) -> None:
         """Check the fencing token of a promotion order."""
-        last_holder, last_token = self._last_order
-        if fencing_token < last_token or (fencing_token == last_token and holder != last_holder):
-            self.report(
-                "ONE",
-                f"{holder} ordered with {fencing_token} after {last_holder} with {last_token}",
-            )
-        self._last_order = (holder, max(fencing_token, last_token))
+        self._last_order = self._check_token("ordered", holder, fencing_token, self._last_order)
+
+    def on_usage_report(self, usage: UsageReport) -> None:
+        """Check the token of a usage report, and that all reports of a window are equal."""
+        self._last_report = self._check_token(
+            "reported", usage.holder, usage.fence, self._last_report
+        )
+        known = self._usage.setdefault(usage.window, usage.counts)
+        if known != usage.counts:
+            self.report("ONE", f"{usage.holder} reported {usage.window} with other counts")
+
+    def _check_token(
+        self, action: str, holder: str, token: int, last: tuple[str, int]
+    ) -> tuple[str, int]:
+        """Check that tokens do not decrease and belong to one holder; return the newest."""
+        last_holder, last_token = last
+        if token < last_token or (token == last_token and holder != last_holder):
+            self.report("ONE", f"{holder} {action} with {token} after {last_holder}, {last_token}")
+        return holder, max(token, last_token)
 
     def _check_state(self, execution: Execution, attempt: Attempt) -> None:
         if execution.values != attempt.values:
--- a/libs/soak/src/pistachiowinch/soak/cluster.py
+++ b/libs/soak/src/pistachiowinch/soak/cluster.py
@@ -42,6 +42,9 @@
 ZONES = ("za", "zb", "zc")
 # Time from SIGTERM to SIGKILL that the hosts' settings announce.
 STOP_GRACE_S = 3.0
+# Short windows, so that a run has many. They are due late enough for a successor to repeat some.
+USAGE_WINDOW_S = 2.0
+USAGE_DUE_S = 10.0
 # A crashed target's registration is removed after this time.
 TARGET_REMOVAL_S = 3.6
 # Response time of a store in another zone.
@@ -133,7 +136,7 @@
         self._versions = itertools.count(1)
         self._configuration: Operation | None = None
         self._tasks: set[asyncio.Task] = set()
-        self._order_server = HttpOrders(self._promote)
+        self._order_server = HttpOrders(self._promote, self.checker.on_usage_report)
 
     @property
     def addresses(self) -> dict[str, tuple[str, int]]:
@@ -283,6 +286,8 @@
             store_address=self.store_servers[number].address,
             orders_address=self._order_server.address,
             stop_within_s=STOP_GRACE_S,
+            usage_window_s=USAGE_WINDOW_S,
+            usage_due_s=USAGE_DUE_S,
         )
 
     async def _promote(self, order: PromotionOrder) -> bool:
--- a/libs/standins/src/pistachiowinch/standins/platform_documents.py
+++ b/libs/standins/src/pistachiowinch/standins/platform_documents.py
@@ -79,6 +79,8 @@
     store_address: str
     orders_address: str
     stop_within_s: float
+    usage_window_s: float
+    usage_due_s: float
 
 
 def configuration_put(
@@ -150,7 +152,14 @@
             "listen": {"front": host.callers_address, "ready": host.ready_address},
             "portRange": [host.peers_port, host.peers_port],
             "platform": {"address": host.store_address},
-            "cloudApi": {"address": host.orders_address},
-            "bounds": {"graceS": host.stop_within_s},
+            "cloudApi": {
+                "address": host.orders_address,
+                "duties": ["promotion", "usage_report"],
+            },
+            "bounds": {
+                "graceS": host.stop_within_s,
+                "reportWindowS": host.usage_window_s,
+                "usageLateS": host.usage_due_s,
+            },
         }
     )
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -51,6 +51,11 @@
     ScheduledFault(0.5 + 2.2 * number, SignalFault((number % HOSTS,), signal.SIGTERM, 0.1))
     for number in range(8)
 ) + tuple(ScheduledFault(0.0, TargetFault(target, "slow", 18.0)) for target in range(6))
+# Each host is killed in turn, and so the one that reports usage.
+KILLS = tuple(
+    ScheduledFault(3.0 + 5.0 * number, SignalFault((number,), signal.SIGKILL, 0.1))
+    for number in range(HOSTS)
+)
 SLOW_STATEMENT_S = 0.04
 RELOADS = (
     ScheduledFault(0.0, SignalFault((0,), signal.SIGHUP, 4.0)),
@@ -98,6 +103,7 @@
         ("repeat_writes", {"TWICE"}, CONNECTION_RESETS),
         ("ignore_lease", {"ONE"}, ISOLATED_HOST),
         ("close_early", {"LOST"}, PLANNED_STOPS),
+        ("forget_reports", {"ONE"}, KILLS),
     ],
 )
 async def test_the_checker_finds_what_a_missing_guard_lets_through(
@@ -118,7 +124,7 @@
 async def test_the_same_faults_break_nothing_with_all_guards(tmp_path, monkeypatch):
     """Guards against faults that cause findings even with all guards in place."""
     monkeypatch.setattr(line_service, "OLD_PRIMARY_DEMOTION_S", FAULT_DURATION_S)
-    schedules = (LAGGING_REPLICAS, CONNECTION_RESETS, ISOLATED_HOST, PLANNED_STOPS)
+    schedules = (LAGGING_REPLICAS, CONNECTION_RESETS, ISOLATED_HOST, PLANNED_STOPS, KILLS)
     for number, faults in enumerate(schedules):
         folder = tmp_path / str(number)
         folder.mkdir()
--- a/tests/soak/unguarded.py
+++ b/tests/soak/unguarded.py
@@ -5,6 +5,7 @@
 from pistachiowinch.base import codes
 from pistachiowinch.entry.callers import CallerServer
 from pistachiowinch.fleet.primary_lease import PrimaryLease
+from pistachiowinch.fleet.usage_reports import UsageReporter
 from pistachiowinch.limits.rates import RateEscrow
 from pistachiowinch.links.statements import Completed, Position
 from pistachiowinch.platform.serving import serve
@@ -55,6 +56,16 @@
     CallerServer.close_waiting = CallerServer.close_all
 
 
+def forget_reports() -> None:
+    """Send usage reports that are recorded nowhere."""
+
+    async def record(self, window, value, due_s):
+        self._recorded[window] = value
+        return True
+
+    UsageReporter._record = record
+
+
 if __name__ == "__main__":
     globals()[sys.argv[1]]()
     serve(settings_path())
