--- a/libs/entry/src/pistachiowinch/entry/host.py
+++ b/libs/entry/src/pistachiowinch/entry/host.py
@@ -15,6 +15,7 @@
 from pistachiowinch.entry.links import EntryLinks, HostAddress
 from pistachiowinch.entry.registry import REREGISTRATION_WAIT_S, TargetRegistry
 from pistachiowinch.entry.shares import Shares
+from pistachiowinch.entry.usage import HostUsage
 from pistachiowinch.fleet.first_listing import FirstListingSource
 from pistachiowinch.fleet.following import PrefixFollower
 from pistachiowinch.fleet.messages import DrainAnswer, DrainRequest, PrimaryNotice
@@ -133,6 +134,7 @@
         self._build_fleet()
         self._build_sessions(links)
         self._build_switching(links)
+        self._build_usage(links)
 
     def _build_fleet(self) -> None:
         log = self._log.for_part("fleet")
@@ -332,6 +334,21 @@
         self._membership.heartbeats.subscribe(self._on_heartbeat)
         self._primaries.changes.subscribe(lambda _: self._connections.wake_all())
 
+    def _build_usage(self, links: EntryLinks) -> None:
+        self._usage = HostUsage(
+            self._identity,
+            links,
+            self._peer_link,
+            self._hosts,
+            self._voter_set,
+            self._fleet_follower,
+            lambda: self._is_configured and not self.session_context.is_stopping,
+            self._group_views.rank,
+            self._metrics,
+            self._log.for_part("usage"),
+        )
+        self.session_context.request_counts = self._usage.counts
+
     @property
     def is_ready(self) -> bool:
         """Whether the load balancer should send new callers to this host."""
@@ -366,6 +383,7 @@
             self._supervisor.run,
             self._store_contact.run,
             self._voter_set_manager.run,
+            self._usage.run,
             self._upkeep,
         )
         loop = asyncio.get_running_loop()
@@ -379,9 +397,9 @@
         return not self._pool_server.is_idle
 
     async def leave(self) -> None:
-        """Return borrowed rate tokens, leave the fleet and stop."""
+        """Hand over usage counts, return borrowed rate tokens, leave the fleet and stop."""
         self._pool_server.close()
-        await self._rates.return_loans()
+        await asyncio.gather(self._usage.hand_over(), self._rates.return_loans())
         self._hosts.resign()
         await self._registration.leave()
         for task in self._tasks:
@@ -389,6 +407,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._peer_link.stop()
         self._orders.close()
+        self._usage.close()
 
     async def _keep_running(self, component: Callable[[], Coroutine]) -> None:
         """Run a component and restart it if it fails; otherwise its loss would go unnoticed."""
--- a/libs/sessions/src/pistachiowinch/sessions/exchanges.py
+++ b/libs/sessions/src/pistachiowinch/sessions/exchanges.py
@@ -14,6 +14,7 @@
 from pistachiowinch.sessions.context import SessionContext
 from pistachiowinch.sessions.health import SLOW_EXCHANGE_S
 from pistachiowinch.sessions.pool_messages import Declined
+from pistachiowinch.sessions.request_counting import count_request
 from pistachiowinch.sessions.shared_connection import SharedConnection
 from pistachiowinch.sessions.work import Operation, Work
 
@@ -66,9 +67,11 @@
         if sent_s >= deadline_s:
             return Interrupted(False, "no time was left")
         operation.rate_token.is_spent = True
+        counted = count_request(context.request_counts, operation, work)
         outcome = await pooled.connection.run(
             work.request_id, work.statement, min_position, remaining_s(deadline_s)
         )
+        counted.note_outcome(outcome)
         _record_outcome(context, borrowed, outcome, sent_s, work, min_position, deadline_s)
         return outcome
     finally:
@@ -98,6 +101,7 @@
             return Interrupted(False, "no time was left")
         was_spent = operation.rate_token.is_spent
         operation.rate_token.is_spent = True
+        counted = count_request(context.request_counts, operation, work)
         objective_s = operation.started_s + operation.route.target_latency_s
         outcome = await connection.run_aligned(
             work.request_id,
@@ -111,6 +115,7 @@
     finally:
         if borrowed.is_primary:
             context.work.end_exchange(service)
+    counted.note_outcome(outcome)
     match outcome:
         case Declined() | Interrupted(is_sent=False):
             operation.rate_token.is_spent = was_spent
--- a/libs/sessions/src/pistachiowinch/sessions/pool_server.py
+++ b/libs/sessions/src/pistachiowinch/sessions/pool_server.py
@@ -451,9 +451,12 @@
 
 
 def _operation(message: PoolStatement) -> Operation:
-    """Return the part of the caller's operation that an exchange needs."""
+    """Return the part of the caller's operation that an exchange needs.
+
+    It has no customer, because the caller's host counts its requests.
+    """
     consistency = Consistency.PRIMARY
     route = Route("", message.service, consistency, 0.0, 0.0, message.priority, 0.0, False)
     state = CallerState()
     state.values = message.values
-    return Operation(route, message.customer, state, now_s(), RateToken())
+    return Operation(route, "", state, now_s(), RateToken())
