--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,8 @@
 	$(VENV)/bin/pistachiowinch demo --check
 
 test: $(STAMP)
-	$(VENV)/bin/python -m pytest -n auto --dist worksteal $(PYTEST_OPTIONS)
+	$(VENV)/bin/python -m pytest -n auto --dist worksteal --ignore=tests/crowds $(PYTEST_OPTIONS)
+	$(VENV)/bin/python -m pytest tests/crowds $(PYTEST_OPTIONS)
 
 format: $(STAMP)
 	$(VENV)/bin/black --quiet $(SOURCES)
