--- a/libs/base/src/pistachiowinch/base/codes.py
+++ b/libs/base/src/pistachiowinch/base/codes.py
@@ -95,6 +95,12 @@
 TOO_MANY_CONNECTIONS = _code(
     2005, "TOO_MANY_CONNECTIONS", _NO, 1040, "08004", "Close idle connections and retry."
 )
+CALLER_TOO_SLOW = _code(
+    2006, "CALLER_TOO_SLOW", _NO, 1159, "08S01", "Send the whole message without pauses."
+)
+HOST_MEMORY_FULL = _code(
+    2007, "HOST_MEMORY_FULL", _NO, 1040, "08004", "Retry with increasing delay; send less at once."
+)
 
 NO_PRIMARY = _code(3001, "NO_PRIMARY", _NO, 1290, "HY000", "Retry; a promotion is under way.")
 NO_COVERING_TARGET = _code(
--- a/libs/base/src/pistachiowinch/base/metrics.py
+++ b/libs/base/src/pistachiowinch/base/metrics.py
@@ -27,6 +27,10 @@
         self.connections_closed = self._counter(
             "target_connections_closed", "Target connections closed", "reason"
         )
+        self.callers_closed = self._counter(
+            "callers_closed", "Caller connections closed by a limit", "reason"
+        )
+        self.caller_memory = self._gauge("caller_memory_bytes", "Memory charged to callers")
         self.config_version = self._gauge("config_version", "Configuration version in force")
         self.roster_epoch = self._gauge("roster_epoch", "Roster epoch in force")
         self.has_standing = self._gauge("has_standing", "1 while the host takes new work")
--- a/libs/base/src/pistachiowinch/base/sockets.py
+++ b/libs/base/src/pistachiowinch/base/sockets.py
@@ -3,7 +3,11 @@
 import asyncio
 import socket
 
-__all__ = ["set_socket_options"]
+__all__ = ["ACCEPT_BURST", "Listener", "listen", "set_socket_options"]
+
+# Connections accepted at once. The event loop serves other work before the next ones, and those
+# above a limit are closed by then.
+ACCEPT_BURST = 32
 
 # Timeout of unacknowledged data; targets drop a connection to an unreachable host after the same
 # time.
@@ -14,7 +18,45 @@
 KEEPALIVE_PROBES = 3
 
 
-def set_socket_options(writer: asyncio.StreamWriter) -> None:
+class Listener(socket.socket):
+    """Listening socket whose backlog does not depend on the number of connections accepted at once.
+
+    ``asyncio`` has one argument for both.
+
+    :ivar backlog: connections that wait to be accepted.
+    """
+
+    backlog = ACCEPT_BURST
+
+    def listen(self, _accepted_at_once: int = 0, /) -> None:
+        """Listen with the backlog."""
+        super().listen(self.backlog)
+
+
+def listen(address: str, backlog: int, buffer_bytes: int) -> Listener:
+    """Create a listening socket for ``loop.create_server(sock=..., backlog=ACCEPT_BURST)``.
+
+    :param address: ``IP:PORT``; port 0 selects a free one.
+    :param backlog: connections that wait to be accepted.
+    :param buffer_bytes: size of the kernel's buffers of each connection, in each direction.
+    :raises OSError: if the address is in use.
+    """
+    host, _, port = address.rpartition(":")
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    listener = Listener(family, socket.SOCK_STREAM)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, buffer_bytes)
+        listener.bind((host, int(port)))
+    except OSError:
+        listener.close()
+        raise
+    listener.backlog = backlog
+    return listener
+
+
+def set_socket_options(writer: asyncio.StreamWriter | asyncio.BaseTransport) -> None:
     """Set the options of a connection's socket.
 
     :param writer: an open connection.
--- a/libs/entry/src/pistachiowinch/entry/callers.py
+++ b/libs/entry/src/pistachiowinch/entry/callers.py
@@ -2,11 +2,23 @@
 
 import asyncio
 import contextlib
-import select
+from collections import Counter
 from dataclasses import dataclass
 from typing import NamedTuple, Protocol
 
+from pistachiowinch.base.caller_limits import (
+    DEFAULT_MACHINE,
+    FREE_KEPT_BYTES,
+    RECEIVE_BUFFER_BYTES,
+    CallerLimits,
+    CallerMemory,
+    CallerUsage,
+    CloseReason,
+    MachineLimits,
+)
 from pistachiowinch.base.codes import (
+    CALLER_TOO_SLOW,
+    HOST_MEMORY_FULL,
     MALFORMED_PACKET,
     OUTCOME_UNKNOWN,
     STATEMENT_TOO_LARGE,
@@ -15,8 +27,9 @@
     ResultCode,
 )
 from pistachiowinch.base.decisions import DecisionLog
-from pistachiowinch.base.sockets import set_socket_options
-from pistachiowinch.links.statements import Statement
+from pistachiowinch.base.sockets import ACCEPT_BURST, listen
+from pistachiowinch.entry.caller_stream import CallerStream, MessageTooLarge
+from pistachiowinch.links.statements import Prepare, SetValue, Statement
 from pistachiowinch.sessions.context import SessionContext
 from pistachiowinch.sessions.replies import Reply
 from pistachiowinch.sessions.session import Session
@@ -34,8 +47,6 @@
 FIRST_LINE_TIMEOUT_S = 3.0
 # A host that starts reads the configuration within 0.1 s, unless it is cut off from the store.
 CONFIGURATION_WAIT_S = 0.3
-# File descriptors of a host, less those for files, targets and other hosts; a session takes 8 KB.
-MAX_SESSIONS = 4000
 # Connections that wait to be accepted: several times the number that move to a host at once.
 BACKLOG_CONNECTIONS = 512
 
@@ -95,41 +106,29 @@
     def encode_closing(self, refusal: Refusal) -> bytes:
         """Encode the reason why the connection is closed."""
 
-    def encode_reply(self, reply: Reply, state: str) -> bytes:
+    def encode_reply(self, reply: Reply, state: str) -> bytes | bytearray:
         """Encode the reply to a statement and the state of the transaction."""
 
 
 class _Caller:
-    """One connection of a caller."""
+    """One connection of a caller.
+
+    :ivar kept_at_most_bytes: upper bound of what the session keeps.
+    """
 
-    __slots__ = ("is_waiting", "reader", "session", "writer")
+    __slots__ = ("is_waiting", "kept_at_most_bytes", "session", "stream")
 
-    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.reader = reader
-        self.writer = writer
+    def __init__(self, stream: CallerStream) -> None:
+        self.stream = stream
         self.session: Session | None = None
         self.is_waiting = False
+        self.kept_at_most_bytes = 0
 
     @property
     def can_close(self) -> bool:
         """Whether the connection can be closed without interrupting a statement or transaction."""
         is_idle = self.session is not None and self.session.is_idle
-        return self.is_waiting and is_idle and not self.has_unread
-
-    @property
-    def has_unread(self) -> bool:
-        """Whether a part of a message has arrived, also in the kernel's buffer.
-
-        Closing a connection with unread bytes resets it, and the caller gets no answer.
-        """
-        # StreamReader has no public way to tell this.
-        if self.reader._buffer:
-            return True
-        if self.writer.is_closing():
-            return False
-        poll = select.poll()
-        poll.register(self.writer.get_extra_info("socket").fileno(), select.POLLIN)
-        return bool(poll.poll(0))
+        return self.is_waiting and is_idle and not self.stream.has_unread
 
 
 class CallerServer:
@@ -138,14 +137,29 @@
     :param context: shared dependencies of the sessions.
     :param codec: codec of the line protocol.
     :param log: decision log of this component.
+    :param machine: limits of the process, which bound what callers may use.
     """
 
-    def __init__(self, context: SessionContext, codec: CallerCodec, log: DecisionLog) -> None:
+    def __init__(
+        self,
+        context: SessionContext,
+        codec: CallerCodec,
+        log: DecisionLog,
+        machine: MachineLimits = DEFAULT_MACHINE,
+    ) -> None:
         """Create a server; :meth:`start` makes it listen."""
         self._context = context
         self._codec = codec
         self._log = log
-        self._callers: set[_Caller] = set()
+        self._limits = CallerLimits.of_machine(machine)
+        self._memory = CallerMemory(self._limits, self._close_by_limit)
+        self._callers: dict[CallerUsage, _Caller] = {}
+        # Connections without a session, in order of arrival.
+        self._unopened: dict[_Caller, None] = {}
+        self._tasks: set[asyncio.Task] = set()
+        # All connections, also those that are closing.
+        self._streams: dict[CallerUsage, CallerStream] = {}
+        self._closed_by_limit: Counter[CloseReason] = Counter()
         self._server: asyncio.Server | None = None
 
     @property
@@ -159,13 +173,10 @@
         :param address: ``IP:PORT``; port 0 selects a free port.
         :returns: the port.
         """
-        host, _, port = address.rpartition(":")
-        self._server = await asyncio.start_server(
-            self._serve,
-            host,
-            int(port),
-            limit=self._codec.max_line_bytes,
-            backlog=BACKLOG_CONNECTIONS,
+        loop = asyncio.get_running_loop()
+        listener = listen(address, BACKLOG_CONNECTIONS, RECEIVE_BUFFER_BYTES)
+        self._server = await loop.create_server(
+            self._create_stream, sock=listener, backlog=ACCEPT_BURST
         )
         return self._server.sockets[0].getsockname()[1]
 
@@ -176,54 +187,114 @@
 
     def close_idle(self) -> None:
         """Close the sessions that have no statement and no transaction in progress."""
-        for caller in tuple(self._callers):
+        for caller in tuple(self._callers.values()):
             if caller.can_close:
-                caller.writer.close()
+                caller.stream.close()
 
     def end_hopeless_transactions(self) -> None:
         """Abort the transactions of idle callers that the host's stop leaves no time for."""
-        for caller in self._callers:
+        for caller in self._callers.values():
             if caller.is_waiting and caller.session is not None:
                 caller.session.end_hopeless_transaction()
 
     def close_waiting(self) -> None:
         """Close the sessions without a statement in progress; open transactions are rolled back."""
-        for caller in tuple(self._callers):
-            if caller.is_waiting and not caller.has_unread:
+        for caller in tuple(self._callers.values()):
+            if caller.is_waiting and not caller.stream.has_unread:
                 if caller.session is not None:
                     caller.session.close()
-                caller.writer.close()
+                caller.stream.close()
 
     def close_all(self) -> None:
         """Close every session."""
-        for caller in tuple(self._callers):
-            caller.writer.close()
+        for caller in tuple(self._callers.values()):
+            caller.stream.close()
 
     def end_idle_transactions(self) -> None:
         """Abort transactions whose callers have been idle for too long."""
         idle_s = self._context.view.configuration.transaction_idle_s
-        for caller in self._callers:
+        for caller in self._callers.values():
             if caller.is_waiting and caller.session is not None:
                 caller.session.end_idle_transaction(idle_s)
 
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        caller = _Caller(reader, writer)
-        self._callers.add(caller)
+    def close_slow(self, step_s: float) -> None:
+        """Close the connections that hold memory for too long, and log those that were closed.
+
+        :param step_s: time since the last call.
+        """
+        self._memory.check(step_s)
+        self._context.metrics.caller_memory.set(self._memory.used_bytes)
+        for reason, count in self._closed_by_limit.items():
+            self._log.write(
+                "callers_closed",
+                cause=reason.value,
+                count=count,
+                connections=len(self._streams),
+                used_bytes=self._memory.used_bytes,
+            )
+        self._closed_by_limit.clear()
+
+    def _create_stream(self) -> CallerStream:
+        codec = self._codec
+        return CallerStream(
+            self._memory, codec.line_end, codec.max_line_bytes, self._on_connected, self._on_lost
+        )
+
+    def _on_connected(self, stream: CallerStream) -> None:
+        caller = _Caller(stream)
+        self._streams[stream.usage] = stream
+        self._callers[stream.usage] = caller
+        self._unopened[caller] = None
+        task = asyncio.get_running_loop().create_task(self._serve(caller))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        if len(self._streams) > self._limits.connections:
+            oldest = next(iter(self._unopened))
+            self._close_by_limit(oldest.stream.usage, CloseReason.CONNECTIONS)
+
+    def _on_lost(self, stream: CallerStream) -> None:
+        del self._streams[stream.usage]
+
+    def _close_by_limit(self, usage: CallerUsage, reason: CloseReason) -> None:
+        self._closed_by_limit[reason] += 1
+        self._context.metrics.callers_closed.labels(reason.value).inc()
+        caller = self._callers.get(usage)
+        if caller is not None:
+            self._unopened.pop(caller, None)
+            if caller.is_waiting:
+                self._tell_reason(caller, reason)
+        self._streams[usage].abort_after_write()
+
+    def _tell_reason(self, caller: _Caller, reason: CloseReason) -> None:
+        """Tell a caller why it is closed; no statement of its is running."""
+        if caller.session is not None:
+            caller.session.close()
+        match reason:
+            case CloseReason.CONNECTIONS:
+                code = TOO_MANY_CONNECTIONS
+            case CloseReason.MESSAGE_TIMEOUT:
+                code = CALLER_TOO_SLOW
+            case _:
+                code = HOST_MEMORY_FULL
+        refusal = self._refuse(code, "this host closes the connection")
+        caller.stream.write(self._codec.encode_closing(refusal))
+
+    async def _serve(self, caller: _Caller) -> None:
         try:
-            set_socket_options(writer)
             await self._run_session(caller)
         except (OSError, asyncio.IncompleteReadError, TimeoutError) as error:
             self._log_disconnect(caller, error)
-        except (asyncio.LimitOverrunError, ValueError):
+        except MessageTooLarge:
             refusal = self._refuse(STATEMENT_TOO_LARGE, "the message is too large")
-            writer.write(self._codec.encode_closing(refusal))
+            caller.stream.write(self._codec.encode_closing(refusal))
         except Exception as error:
             self._log.write("session_failed", cause=type(error).__name__)
         finally:
-            self._callers.discard(caller)
+            self._callers.pop(caller.stream.usage, None)
+            self._unopened.pop(caller, None)
             if caller.session is not None:
                 caller.session.close()
-            writer.close()
+            caller.stream.close()
 
     def _log_disconnect(self, caller: _Caller, error: Exception) -> None:
         """Log a disconnect during a message, a statement or a transaction."""
@@ -243,28 +314,42 @@
         async with asyncio.timeout(FIRST_LINE_TIMEOUT_S):
             line = await self._read_line(caller)
         caller.is_waiting = False
+        caller.stream.end_message()
         await self._wait_for_configuration()
         if not self._open_session(caller, line):
             return
-        while True:
-            caller.is_waiting = True
-            line = await self._read_line(caller)
-            caller.is_waiting = False
-            match self._codec.decode(line):
-                case CallerQuit():
-                    return
-                case MalformedLine():
-                    reply = self._refuse(MALFORMED_PACKET, "not a message of a session")
-                    self._log.write("malformed", length=len(line))
-                case CallerQuery(request_id, statement, size_bytes):
-                    reply = await self._execute(caller, request_id, statement, size_bytes)
-            caller.writer.write(self._codec.encode_reply(reply, caller.session.state))
-            await caller.writer.drain()
+        while await self._serve_message(caller):
+            pass
+
+    async def _serve_message(self, caller: _Caller) -> bool:
+        """Answer one message; return whether another one may follow.
+
+        A message and its answer are referenced only here, so that idle sessions do not hold them.
+        """
+        caller.is_waiting = True
+        line = await self._read_line(caller)
+        caller.is_waiting = False
+        match self._codec.decode(line):
+            case CallerQuit():
+                return False
+            case MalformedLine():
+                reply = self._refuse(MALFORMED_PACKET, "not a message of a session")
+                self._log.write("malformed", length=len(line))
+            case CallerQuery(request_id, statement, size_bytes):
+                del line
+                reply = await self._execute(caller, request_id, statement, size_bytes)
+        caller.stream.write(self._codec.encode_reply(reply, caller.session.state))
+        caller.stream.end_message()
+        del reply
+        await caller.stream.drain()
+        return True
 
     async def _execute(
         self, caller: _Caller, request_id: str, statement: Statement, size_bytes: int
     ) -> Reply:
         """Run a statement; an unexpected error leaves its outcome unknown, but not unanswered."""
+        if isinstance(statement, SetValue | Prepare) and not self._may_keep(caller, size_bytes):
+            return self._refuse(HOST_MEMORY_FULL, "the host's sessions keep too much")
         try:
             return await caller.session.execute(request_id, statement, size_bytes)
         except Exception as error:
@@ -272,6 +357,18 @@
             caller.session.close()
             return self._refuse(OUTCOME_UNKNOWN, "the host failed; see its log")
 
+    def _may_keep(self, caller: _Caller, size_bytes: int) -> bool:
+        """Charge a value or prepared statement to the session that keeps it."""
+        caller.kept_at_most_bytes += size_bytes
+        if caller.kept_at_most_bytes <= FREE_KEPT_BYTES:
+            return True
+        kept_bytes = caller.session.kept_bytes
+        if not self._memory.keep(caller.stream.usage, kept_bytes + size_bytes):
+            caller.kept_at_most_bytes = kept_bytes
+            return False
+        caller.kept_at_most_bytes = kept_bytes + size_bytes
+        return True
+
     async def _wait_for_configuration(self) -> None:
         is_configured = self._context.view.is_configured
         if is_configured.is_set():
@@ -281,18 +378,17 @@
                 await is_configured.wait()
 
     async def _read_line(self, caller: _Caller) -> bytes:
-        line = await caller.reader.readuntil(self._codec.line_end)
-        return line[: -len(self._codec.line_end)]
+        return await caller.stream.read_line()
 
     def _open_session(self, caller: _Caller, line: bytes) -> bool:
         start = self._codec.decode_start(line)
         if start is None:
             refusal = self._refuse(MALFORMED_PACKET, "not the first message of a session")
-            caller.writer.write(self._codec.encode_closing(refusal))
+            caller.stream.write(self._codec.encode_closing(refusal))
             return False
-        if len(self._callers) > MAX_SESSIONS:
+        if len(self._callers) - len(self._unopened) >= self._limits.sessions:
             refusal = self._refuse(TOO_MANY_CONNECTIONS, "this host has too many sessions")
-            caller.writer.write(self._codec.encode_closing(refusal))
+            caller.stream.write(self._codec.encode_closing(refusal))
             return False
         session = Session(self._context, start.database, start.key)
         refusal = session.admit()
@@ -303,10 +399,11 @@
                 code=refusal.code.name,
                 version=self._context.view.configuration.version,
             )
-            caller.writer.write(self._codec.encode_closing(refusal))
+            caller.stream.write(self._codec.encode_closing(refusal))
             return False
         caller.session = session
-        caller.writer.write(self._codec.encode_opened())
+        del self._unopened[caller]
+        caller.stream.write(self._codec.encode_opened())
         return True
 
     def _refuse(self, code: ResultCode, detail: str) -> Refusal:
--- a/libs/entry/src/pistachiowinch/entry/daemon.py
+++ b/libs/entry/src/pistachiowinch/entry/daemon.py
@@ -91,6 +91,7 @@
         cut_off_s: float | None = None
         while True:
             await sleep_s(IDLE_CHECK_INTERVAL_S)
+            self._callers.close_slow(IDLE_CHECK_INTERVAL_S)
             self._callers.end_idle_transactions()
             if not self._host.is_cut_off:
                 cut_off_s = None
--- a/libs/sessions/src/pistachiowinch/sessions/session.py
+++ b/libs/sessions/src/pistachiowinch/sessions/session.py
@@ -78,6 +78,15 @@
         """Whether no transaction is open."""
         return self._transaction is None
 
+    @property
+    def kept_bytes(self) -> int:
+        """Length of the values and prepared statements that the session keeps."""
+        values = sum(len(name) + len(value) for name, value in self._state.values.items())
+        templates = sum(
+            len(name) + len(kept.template) for name, kept in self._state.prepared.items()
+        )
+        return values + templates
+
     def admit(self) -> Refusal | tuple[Route, str]:
         """Check the database and the key against the current configuration.
 
--- a/tests/crowds/crowd_support.py
+++ b/tests/crowds/crowd_support.py
@@ -27,7 +27,8 @@
     target_put,
 )
 
-IP = "127.0.0.1"
+# Addresses of this test process's own: connections of other programs cannot take their ports.
+IP = f"127.{os.getpid() >> 14 & 0xFF | 0x40}.{os.getpid() >> 7 & 0x7F}.{os.getpid() & 0x7F | 0x80}"
 MEBIBYTE = 1024 * 1024
 # Limits of the host's machine in these tests, and so the bounds that they check.
 MEMORY_MB = 100
@@ -93,6 +94,16 @@
             )
         self._sampler = asyncio.get_running_loop().create_task(self._sample())
 
+    async def wait_until(self, is_true: Callable[[], Awaitable[bool]]) -> None:
+        """Wait for the end of the start; show the process's output if it fails."""
+        try:
+            async with asyncio.timeout(READY_TIMEOUT_S):
+                await ask_again(is_true)
+        except TimeoutError as error:
+            output = self._log_path.read_text()[-2000:]
+            await self.kill()
+            raise AssertionError(f"not started: {output}") from error
+
     async def kill(self) -> None:
         """End the process."""
         self._sampler.cancel()
@@ -223,8 +234,7 @@
         self._store.apply_transact([], (configuration, target_put(target)))
         (self._folder / "host.json").write_bytes(self._settings())
         await self.process.start()
-        async with asyncio.timeout(READY_TIMEOUT_S):
-            await ask_again(self._is_serving)
+        await self.process.wait_until(self._is_serving)
         return self
 
     async def __aexit__(self, *_) -> None:
--- a/tests/proxy/proxy_support.py
+++ b/tests/proxy/proxy_support.py
@@ -107,6 +107,13 @@
         """Record the bytes."""
         self.written += data
 
+    def set_write_buffer_limits(self, high):
+        """Ignore the limit, because nothing is buffered."""
+
+    def get_write_buffer_size(self):
+        """Return 0, because nothing is buffered."""
+        return 0
+
     def pause_reading(self):
         """Record that reading is paused."""
         self.is_paused = True
@@ -155,9 +162,9 @@
         self.nonce = b""
 
     @classmethod
-    async def connect(cls, port):
+    async def connect(cls, port, address="127.0.0.1"):
         """Connect and read the handshake packet."""
-        client = cls(*await asyncio.open_connection("127.0.0.1", port))
+        client = cls(*await asyncio.open_connection(address, port))
         greeting = await client.read()
         if greeting[0] != 0xFF:
             rest = greeting[greeting.index(b"\x00", 1) + 5 :]
