--- a/libs/base/src/pistachiowinch/base/http.py
+++ b/libs/base/src/pistachiowinch/base/http.py
@@ -11,7 +11,7 @@
 import h11
 
 from pistachiowinch.base.clock import now_s
-from pistachiowinch.base.sockets import set_socket_options
+from pistachiowinch.base.sockets import ACCEPT_BURST, listen, set_socket_options
 
 __all__ = ["HttpClient", "HttpFailed", "HttpResponse", "serve_http"]
 
@@ -19,8 +19,16 @@
 MAX_IDLE_CONNECTIONS = 4
 # The kernel usually has at most this much ready.
 READ_BYTES = 64 * 1024
-# Read timeout: five intervals of a load balancer that probes each second.
+# Timeout of one request, and of its response: five intervals of a load balancer that probes each
+# second.
 SERVER_TIMEOUT_S = 5.0
+# Several times the connections of a load balancer and of the collectors of metrics.
+MAX_SERVER_CONNECTIONS = 32
+# Longest request with its headers and its body, which is ignored.
+MAX_REQUEST_BYTES = 16 * 1024
+SERVER_READ_BYTES = 8 * 1024
+SERVER_BUFFER_BYTES = 32 * 1024
+SERVER_BACKLOG_CONNECTIONS = 128
 
 
 class HttpResponse(NamedTuple):
@@ -186,12 +194,24 @@
 ) -> asyncio.Server:
     """Serve GET requests.
 
+    Above :data:`MAX_SERVER_CONNECTIONS` the oldest connection is closed. Requests that are sent
+    ahead are not answered.
+
     :param address: ``IP:PORT`` to listen on.
     :param handler: returns the response for a path.
-    :param on_error: called with the cause when a connection fails or times out.
+    :param on_error: called with the cause when a connection fails, times out or is closed.
     """
+    writers: dict[asyncio.StreamWriter, None] = {}
 
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        # Waiting for the response to be sent means for all of it.
+        writer.transport.set_write_buffer_limits(0)
+        writers[writer] = None
+        if len(writers) > MAX_SERVER_CONNECTIONS:
+            oldest = next(iter(writers))
+            del writers[oldest]
+            oldest.transport.abort()
+            on_error("too many connections; closed the oldest")
         codec = h11.Connection(h11.SERVER)
         try:
             while await _serve_one(codec, reader, writer, handler):
@@ -199,10 +219,16 @@
         except (OSError, TimeoutError, h11.ProtocolError) as error:
             on_error(repr(error))
         finally:
+            writers.pop(writer, None)
+            if writer.transport.get_write_buffer_size():
+                # A caller that has not read its response by now would hold the connection.
+                writer.transport.abort()
             writer.close()
 
-    host, _, port = address.rpartition(":")
-    return await asyncio.start_server(serve, host, int(port))
+    listener = listen(address, SERVER_BACKLOG_CONNECTIONS, SERVER_BUFFER_BYTES)
+    return await asyncio.start_server(
+        serve, sock=listener, backlog=ACCEPT_BURST, limit=SERVER_READ_BYTES
+    )
 
 
 async def _serve_one(
@@ -212,23 +238,42 @@
     answer: Callable[[str], Awaitable[HttpResponse]],
 ) -> bool:
     """Answer one request; return whether another one may follow."""
+    async with asyncio.timeout(SERVER_TIMEOUT_S):
+        path = await _read_request(codec, reader)
+    if path is None:
+        return False
+    response = await answer(path)
+    headers = [("Content-Length", str(len(response.body))), ("Content-Type", "text/plain")]
+    is_sent_ahead = bool(codec.trailing_data[0])
+    if is_sent_ahead:
+        headers.append(("Connection", "close"))
+    data = codec.send(h11.Response(status_code=response.status, headers=headers)) or b""
+    data += codec.send(h11.Data(data=response.body)) or b""
+    data += codec.send(h11.EndOfMessage()) or b""
+    writer.write(data)
+    async with asyncio.timeout(SERVER_TIMEOUT_S):
+        await writer.drain()
+    return codec.our_state is h11.DONE and codec.their_state is h11.DONE
+
+
+async def _read_request(codec: h11.Connection, reader: asyncio.StreamReader) -> str | None:
+    """Read one request; return its path, or None if the connection ends instead.
+
+    :raises h11.RemoteProtocolError: if the request is malformed or too large.
+    """
     path = ""
+    received_bytes = 0
     while True:
         event = codec.next_event()
         if event is h11.NEED_DATA:
-            async with asyncio.timeout(SERVER_TIMEOUT_S):
-                codec.receive_data(await reader.read(READ_BYTES))
+            if received_bytes > MAX_REQUEST_BYTES:
+                raise h11.RemoteProtocolError("the request is too large")
+            data = await reader.read(SERVER_READ_BYTES)
+            received_bytes += len(data)
+            codec.receive_data(data)
         elif isinstance(event, h11.Request):
             path = event.target.decode("ascii", "replace").partition("?")[0]
         elif isinstance(event, h11.EndOfMessage):
-            break
+            return path
         elif isinstance(event, h11.ConnectionClosed):
-            return False
-    response = await answer(path)
-    headers = [("Content-Length", str(len(response.body))), ("Content-Type", "text/plain")]
-    data = codec.send(h11.Response(status_code=response.status, headers=headers)) or b""
-    data += codec.send(h11.Data(data=response.body)) or b""
-    data += codec.send(h11.EndOfMessage()) or b""
-    writer.write(data)
-    await writer.drain()
-    return codec.our_state is h11.DONE and codec.their_state is h11.DONE
+            return None
--- a/tests/crowds/test_ready_door.py
+++ b/tests/crowds/test_ready_door.py
@@ -3,7 +3,7 @@
 import asyncio
 
 import pytest
-from crowds.crowd_support import MEBIBYTE, Site, is_served_at_last, press, send
+from crowds.crowd_support import IP, MEBIBYTE, Site, is_served_at_last, press, send
 
 PROBE = b"GET /pistachiowinch/ready HTTP/1.1\r\nHost: h\r\n"
 METRICS = b"GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -16,7 +16,7 @@
     async def is_answered() -> bool:
         try:
             async with asyncio.timeout(2.0):
-                reader, writer = await asyncio.open_connection("127.0.0.1", site.ready_port)
+                reader, writer = await asyncio.open_connection(IP, site.ready_port)
                 writer.write(PROBE + b"\r\n")
                 line = await reader.readline()
                 writer.close()
