--- a/libs/operations/src/pistachiowinch/operations/host.py
+++ b/libs/operations/src/pistachiowinch/operations/host.py
@@ -76,6 +76,8 @@
             max_connections=settings.callers.connections,
             login_timeout_s=settings.callers.login_timeout_s,
             statement_timeout_s=settings.callers.deadline_s,
+            statement_bytes=settings.callers.statement_bytes,
+            memory_bytes=settings.host.memory_mb * 1024 * 1024,
         )
         self.operators = OperatorsServer(self, settings.operators)
 
--- a/libs/operations/src/pistachiowinch/operations/operators_http.py
+++ b/libs/operations/src/pistachiowinch/operations/operators_http.py
@@ -4,13 +4,18 @@
 ``{"error": {"number": ..., "name": ..., "detail": ..., "ran": ..., "advice": ...}}``.
 """
 
+import asyncio
+import math
 from collections.abc import Awaitable, Callable, Sequence
 from typing import Any, Protocol
 
 import msgspec
 from aiohttp import hdrs, web
+from aiohttp.web_protocol import RequestHandler
 from returns.result import Failure, Result, Success
 
+from pistachiowinch.base.caller_limits import RECEIVE_BUFFER_BYTES
+from pistachiowinch.base.clock import now_s
 from pistachiowinch.base.codes import (
     INTERNAL,
     MALFORMED_PACKET,
@@ -26,14 +31,19 @@
     ResultCode,
 )
 from pistachiowinch.base.logs import part_logger
+from pistachiowinch.base.sockets import ACCEPT_BURST, listen
 from pistachiowinch.configuration.document import Configuration
 from pistachiowinch.configuration.patches import Patch
 from pistachiowinch.operations.keys import matches_hash
 from pistachiowinch.operations.settings import OperatorSettings
 
-__all__ = ["MAX_WAIT_S", "OperatorsServer", "OperatorsView", "error_body"]
+__all__ = ["MAX_CONNECTIONS", "MAX_WAIT_S", "OperatorsServer", "OperatorsView", "error_body"]
 
 MAX_WAIT_S = 60.0
+# Several times the connections of load balancers, collectors of metrics and operators.
+MAX_CONNECTIONS = 64
+_BACKLOG_CONNECTIONS = 128
+_LIMIT_LOG_INTERVAL_S = 1.0
 MAX_HISTORY_PATCHES = 1000
 _DEFAULT_HISTORY_PATCHES = 20
 _SHUTDOWN_TIMEOUT_S = 1.0
@@ -163,6 +173,8 @@
         self._view = view
         self._settings = settings
         self._runner: web.AppRunner | None = None
+        self._server: asyncio.Server | None = None
+        self._limit_logged_s = -math.inf
         self._port = settings.port
         self._app = web.Application(middlewares=[self._guard], client_max_size=settings.body_bytes)
         self._app.add_routes(
@@ -193,19 +205,40 @@
         runner = web.AppRunner(self._app, access_log=None, shutdown_timeout=_SHUTDOWN_TIMEOUT_S)
         await runner.setup()
         try:
-            await web.TCPSite(runner, self._settings.address, self._settings.port).start()
+            listener = listen(
+                f"{self._settings.address}:{self._settings.port}",
+                _BACKLOG_CONNECTIONS,
+                RECEIVE_BUFFER_BYTES,
+            )
+            self._server = await asyncio.get_running_loop().create_server(
+                lambda: self._accept(runner.server), sock=listener, backlog=ACCEPT_BURST
+            )
         except OSError:
             await runner.cleanup()
             raise
         self._runner = runner
-        self._port = runner.addresses[0][1]
+        self._port = listener.getsockname()[1]
 
     async def stop(self) -> None:
         """Close all connections; a second call does nothing."""
         runner, self._runner = self._runner, None
         if runner is not None:
+            self._server.close()
             await runner.cleanup()
 
+    def _accept(self, server: web.Server) -> RequestHandler:
+        """Create the handler of a new connection; close the oldest ones above the limit."""
+        handlers = server.connections
+        excess = len(handlers) + 1 - MAX_CONNECTIONS
+        if excess > 0:
+            for handler in handlers[:excess]:
+                if handler.transport is not None:
+                    handler.transport.abort()
+            if now_s() - self._limit_logged_s > _LIMIT_LOG_INTERVAL_S:
+                self._limit_logged_s = now_s()
+                _log.warning("Closes the oldest of {} connections.", len(handlers))
+        return server()
+
     def _needs_key(self, path: str) -> bool:
         if path in _HEALTH_PATHS:
             return not self._settings.health_open
--- a/libs/operations/src/pistachiowinch/operations/settings.py
+++ b/libs/operations/src/pistachiowinch/operations/settings.py
@@ -50,6 +50,7 @@
     name: str
     availability_zone: str
     site: str
+    memory_mb: int = 256
 
 
 class CallerSettings(NamedTuple):
@@ -268,6 +269,14 @@
         "host", "availability_zone", _name, None, _NAME_TEXT, "Availability zone of this host."
     ),
     Setting("host", "site", _name, None, _NAME_TEXT, "Site that the host belongs to."),
+    Setting(
+        "host",
+        "memory_mb",
+        _count(64, 1_048_576),
+        "256",
+        "64 to 1048576",
+        "Memory of the machine for this process, in MiB; callers may use half of it.",
+    ),
     Setting("callers", "address", _address, "127.0.0.1", _ADDRESS_TEXT, "Where callers connect."),
     Setting("callers", "port", _port, "3306", _PORT_TEXT, "Port for callers."),
     Setting(
--- a/libs/proxy/src/pistachiowinch/proxy/connection.py
+++ b/libs/proxy/src/pistachiowinch/proxy/connection.py
@@ -14,6 +14,7 @@
 from pistachiowinch.base.codes import (
     BAD_KEY,
     BAD_SESSION_SETTING,
+    HOST_MEMORY_FULL,
     INTERNAL,
     MALFORMED_PACKET,
     STATEMENT_NOT_SUPPORTED,
@@ -93,6 +94,8 @@
     :param gateway: runs the statements.
     :param by_session: connections by session number; this connection updates its own entry.
     :param login_timeout_s: timeout of the whole login.
+    :param max_packet_bytes: largest packet after the login.
+    :ivar is_logged_in: whether the login succeeded.
     """
 
     def __init__(
@@ -102,6 +105,7 @@
         gateway: Gateway,
         by_session: dict[int, "CallerConnection"],
         login_timeout_s: float = LOGIN_TIMEOUT_S,
+        max_packet_bytes: int = MAX_STATEMENT_BYTES,
     ) -> None:
         """Create a connection before its handshake."""
         super().__init__(stream, CallerSession(), control, None, CAPABILITIES)
@@ -109,6 +113,8 @@
         self._gateway = gateway
         self._by_session = by_session
         self._login_timeout_s = login_timeout_s
+        self._max_packet_bytes = max_packet_bytes
+        self.is_logged_in = False
         self.connection_id: int | None = None
         self._nonce = b""
         self._collation = 0
@@ -164,7 +170,8 @@
         if refusal is not None:
             await self._refuse_and_close(refusal)
             return False
-        self.stream.max_packet_bytes = MAX_STATEMENT_BYTES
+        self.stream.max_packet_bytes = self._max_packet_bytes
+        self.is_logged_in = True
         return True
 
     def _login_timeout_refusal(self) -> Refusal:
@@ -224,6 +231,10 @@
                 return
             handler = _COMMANDS.get(data[0], CallerConnection.handle_unsupported)
             await handler(self, data[1:])
+            # An idle connection must not hold its last command.
+            del data
+            if stream.is_write_blocked:
+                await stream.drain()
 
     # Login
 
@@ -409,6 +420,14 @@
 
     # Prepared statements
 
+    @property
+    def _prepared_bytes(self) -> int:
+        return sum(len(statement.text) for statement in self._statements.values())
+
+    @property
+    def _long_data_bytes(self) -> int:
+        return sum(statement.long_data_bytes for statement in self._statements.values())
+
     async def handle_stmt_prepare(self, data: bytes) -> None:
         """Prepare a statement. The target checks it only when it is executed.
 
@@ -418,11 +437,14 @@
             detail = f"more than {MAX_PREPARED_STATEMENTS} prepared statements"
             self._send_refusal(Refusal(STATEMENT_NOT_SUPPORTED, detail))
             return
-        stored_bytes = sum(len(statement.text) for statement in self._statements.values())
+        stored_bytes = self._prepared_bytes
         if stored_bytes + len(data) > MAX_PREPARED_BYTES:
             detail = f"more than {MAX_PREPARED_BYTES} bytes of prepared statements"
             self._send_refusal(Refusal(STATEMENT_TOO_LARGE, detail))
             return
+        if not self.stream.keep(stored_bytes + self._long_data_bytes + len(data)):
+            self._send_refusal(Refusal(HOST_MEMORY_FULL, "the host's sessions keep too much"))
+            return
         text = data.decode("utf-8", "surrogateescape")
         try:
             if len(text) <= LONG_TEXT_CHARS:
@@ -462,6 +484,9 @@
             self._send_refusal(Refusal(MALFORMED_PACKET, str(error)))
             return
         finally:
+            if statement.long_data_bytes:
+                statement.reset()
+                self.stream.keep(self._prepared_bytes + self._long_data_bytes)
             statement.reset()
         await self._send_outcome(await self.runner.run(text), is_binary=True)
 
@@ -472,8 +497,10 @@
         """
         statement = self._find_statement(data)
         if statement is not None and len(data) >= 6:
-            stored_bytes = sum(other.long_data_bytes for other in self._statements.values())
+            stored_bytes = self._long_data_bytes
             remaining_bytes = MAX_STATEMENT_BYTES - stored_bytes
+            if not self.stream.keep(self._prepared_bytes + stored_bytes + len(data)):
+                remaining_bytes = 0
             statement.append_long_data(
                 int.from_bytes(data[4:6], "little"), data[6:], remaining_bytes
             )
--- a/libs/proxy/src/pistachiowinch/proxy/stream.py
+++ b/libs/proxy/src/pistachiowinch/proxy/stream.py
@@ -6,6 +6,14 @@
 
 from mysql_mimic.stream import ConnectionClosed
 
+from pistachiowinch.base.caller_limits import (
+    DEFAULT_MACHINE,
+    FREE_BYTES,
+    CallerLimits,
+    CallerMemory,
+    CallerUsage,
+)
+
 __all__ = [
     "MAX_LOGIN_BYTES",
     "MAX_STATEMENT_BYTES",
@@ -26,9 +34,9 @@
 _HEADER_BYTES = 4
 _MAX_FRAME_BYTES = 0xFFFFFF
 _WRITE_CHUNK_BYTES = 262_144
-# Further bytes after the current packet stay in the kernel's buffer, so TCP flow control slows the
-# caller down.
-_READ_AHEAD_BYTES = 65_536
+# One read of a large packet. All connections share the memory, as each read is copied at once.
+_SCRATCH = memoryview(bytearray(65_536))
+_SMALL_SCRATCH = _SCRATCH[:FREE_BYTES]
 _KEEPALIVE_IDLE_S = 60
 _KEEPALIVE_INTERVAL_S = 10
 _KEEPALIVE_PROBES = 3
@@ -47,14 +55,27 @@
     """Reading was interrupted because the session ends."""
 
 
-class PacketStream(asyncio.Protocol):
+class PacketStream(asyncio.BufferedProtocol):
     """Reads and writes MySQL packets. Has the methods of ``mysql_mimic.stream.MysqlStream``.
 
+    Bytes beyond those that it may hold stay in the kernel's buffer, so TCP flow control slows the
+    caller down.
+
     :param on_connected: called once with this stream.
+    :param memory: account of what all callers hold; None for one of its own.
     """
 
-    def __init__(self, on_connected: Callable[["PacketStream"], None]) -> None:
+    def __init__(
+        self,
+        on_connected: Callable[["PacketStream"], None],
+        memory: CallerMemory | None = None,
+    ) -> None:
         """Create a stream that is not connected yet."""
+        if memory is None:
+            memory = CallerMemory(CallerLimits.of_machine(DEFAULT_MACHINE), lambda *_: None)
+        self._memory = memory
+        self.usage = CallerUsage(self._on_granted, self._read_unsent_bytes)
+        self._is_incomplete = False
         self._on_connected = on_connected
         self._transport: asyncio.Transport | None = None
         self._buffer = bytearray()
@@ -62,7 +83,6 @@
         self._write_waiter: asyncio.Future[None] | None = None
         self._is_closed = False
         self._is_interrupted = False
-        self._is_reading_paused = False
         self._is_discarding_input = False
         self.seq = 0
         self.max_packet_bytes = MAX_LOGIN_BYTES
@@ -70,24 +90,29 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the connection's task."""
         self._transport = transport
+        # Makes the transport report whenever it could not pass on everything.
+        transport.set_write_buffer_limits(0)
         sock = transport.get_extra_info("socket")
         if sock is not None and sock.family in (socket.AF_INET, socket.AF_INET6):
             _set_keepalive(sock)
         self._on_connected(self)
 
-    def data_received(self, data: bytes) -> None:
-        """Buffer received bytes until they are read."""
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the memory for the next read."""
+        return _SCRATCH if self._is_reading_large else _SMALL_SCRATCH
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Take over what was read."""
+        self.data_received(_SCRATCH[:nbytes])
+
+    def data_received(self, data: bytes | memoryview) -> None:
+        """Buffer received bytes until they are read; stop reading if they are too many."""
         if self._is_discarding_input:
             return
         buffer = self._buffer
         buffer += data
-        size_bytes = len(buffer)
-        if (
-            size_bytes > _READ_AHEAD_BYTES
-            and size_bytes > self._expected_packet_bytes() + _READ_AHEAD_BYTES
-        ):
-            self._transport.pause_reading()
-            self._is_reading_paused = True
+        if len(buffer) > FREE_BYTES and not self._is_reading_large:
+            self._pause_reading()
         self._wake(self._read_waiter)
 
     def eof_received(self) -> bool:
@@ -95,17 +120,20 @@
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Wake the tasks that wait for the caller."""
+        """Free what the connection held, and wake the tasks that wait for the caller."""
         self._is_closed = True
+        self._memory.forget(self.usage)
         self._wake(self._read_waiter)
         self._wake(self._write_waiter)
 
     def pause_writing(self) -> None:
         """Make :meth:`drain` wait."""
         self._write_waiter = asyncio.get_running_loop().create_future()
+        self._memory.set_unsent(self.usage, self._read_unsent_bytes())
 
     def resume_writing(self) -> None:
         """Let :meth:`drain` continue."""
+        self._memory.set_unsent(self.usage, 0)
         self._wake(self._write_waiter)
         self._write_waiter = None
 
@@ -114,12 +142,41 @@
         if waiter is not None and not waiter.done():
             waiter.set_result(None)
 
-    def _expected_packet_bytes(self) -> int:
-        if len(self._buffer) < _HEADER_BYTES:
-            return _HEADER_BYTES
-        return (
-            min(int.from_bytes(self._buffer[:3], "little"), self.max_packet_bytes) + _HEADER_BYTES
-        )
+    @property
+    def _is_reading_large(self) -> bool:
+        # While a command runs, its reservation is for itself and not for what is sent ahead.
+        return self._is_incomplete and self.usage.reserved_bytes > 0
+
+    def _read_unsent_bytes(self) -> int:
+        return self._transport.get_write_buffer_size()
+
+    def _pause_reading(self) -> None:
+        if not self.usage.is_waiting:
+            self._transport.pause_reading()
+            self._memory.stop_reading(self.usage)
+
+    def _resume_reading(self) -> None:
+        self._memory.resume_reading(self.usage)
+        if not self._transport.is_closing():
+            self._transport.resume_reading()
+
+    def _on_granted(self) -> None:
+        self.usage.wanted_bytes = 0
+        self._resume_reading()
+
+    def _await_rest(self) -> None:
+        """Prepare to receive the rest of a packet."""
+        if self._buffer and not self._is_incomplete:
+            self._is_incomplete = True
+            self._memory.begin_message(self.usage)
+        if self.usage.is_waiting and not self.usage.wanted_bytes:
+            packet_bytes = int.from_bytes(self._buffer[:3], "little") + _HEADER_BYTES
+            if self._memory.reserve(self.usage, packet_bytes):
+                self._on_granted()
+
+    def keep(self, size_bytes: int) -> bool:
+        """Charge what this connection keeps in total; return False if that is too much."""
+        return self._memory.keep(self.usage, size_bytes)
 
     @property
     def is_closed(self) -> bool:
@@ -143,6 +200,11 @@
         :raises PacketTooLarge: if the packet is larger than :attr:`max_packet_bytes`.
         :raises ReadInterrupted: after :meth:`interrupt`.
         """
+        if self.usage.reserved_bytes and not self._is_incomplete:
+            # The last command has been answered.
+            self._memory.release(self.usage)
+            if len(self._buffer) > FREE_BYTES:
+                self._pause_reading()
         while True:
             payload = self._pop_packet()
             if payload is not None:
@@ -152,6 +214,7 @@
             if self._is_interrupted:
                 self._is_interrupted = False
                 raise ReadInterrupted
+            self._await_rest()
             self._read_waiter = asyncio.get_running_loop().create_future()
             try:
                 await self._read_waiter
@@ -175,9 +238,11 @@
         payload = bytes(buffer[_HEADER_BYTES:end])
         del buffer[:end]
         self.seq = (self.seq + 1) & 0xFF
-        if self._is_reading_paused and len(buffer) <= _READ_AHEAD_BYTES:
-            self._is_reading_paused = False
-            self._transport.resume_reading()
+        if self._is_incomplete:
+            self._is_incomplete = False
+            self._memory.complete_message(self.usage, end)
+        if self.usage.is_waiting and len(buffer) <= FREE_BYTES:
+            self._resume_reading()
         return payload
 
     def write_many(self, payloads: Iterable[bytes]) -> None:
@@ -268,8 +333,13 @@
         if drain:
             await self.drain()
 
+    @property
+    def is_write_blocked(self) -> bool:
+        """Whether the caller has not taken all results."""
+        return self._write_waiter is not None
+
     async def drain(self) -> None:
-        """Wait until the write buffer is below its limit.
+        """Wait until the caller has taken all results.
 
         :raises ConnectionClosed: if the connection is closed or the caller does not read.
         """
@@ -299,8 +369,8 @@
         self._buffer.clear()
         if self._is_closed:
             return
-        if self._is_reading_paused:
-            self._is_reading_paused = False
+        self._memory.forget(self.usage)
+        if not self._transport.is_closing():
             self._transport.resume_reading()
         if self._transport.can_write_eof() and not self._transport.is_closing():
             self._transport.write_eof()
@@ -317,6 +387,7 @@
 
     def abort(self) -> None:
         """Close at once and discard the buffered packets."""
+        self._buffer.clear()
         if self._transport is not None:
             self._transport.abort()
 
--- a/tests/crowds/test_mysql_door.py
+++ b/tests/crowds/test_mysql_door.py
@@ -10,9 +10,7 @@
 import pytest
 from crowds.crowd_support import (
     IP,
-    READY_TIMEOUT_S,
     Process,
-    ask_again,
     connect_all,
     free_port,
     is_served_at_last,
@@ -46,10 +44,11 @@
 availability_zone = zone-a
 site = crowds
 [callers]
+address = {ip}
 port = {callers}
 connections = {connections}
 [peers]
-address = 127.0.0.1
+address = {ip}
 port = {peers}
 [store]
 endpoints = {store}
@@ -57,6 +56,7 @@
 user = pistachiowinch
 password = demo-target-password
 [operators]
+address = {ip}
 port = {operators}
 bootstrap_key_hash = {key_hash}
 """
@@ -86,6 +86,7 @@
         await self._service.server.start()
         self._settings_path.write_text(
             SETTINGS.format(
+                ip=IP,
                 callers=self.callers_port,
                 operators=self.operators_port,
                 peers=self._peers_port,
@@ -95,9 +96,8 @@
             )
         )
         await self.process.start()
-        async with asyncio.timeout(READY_TIMEOUT_S):
-            await ask_again(self._configure)
-            await ask_again(self._is_serving)
+        await self.process.wait_until(self._configure)
+        await self.process.wait_until(self._is_serving)
         return self
 
     async def __aexit__(self, *_) -> None:
@@ -152,7 +152,7 @@
     async def _is_serving(self) -> bool:
         try:
             async with asyncio.timeout(3.0):
-                client = await RawClient.connect(self.callers_port)
+                client = await RawClient.connect(self.callers_port, IP)
                 try:
                     answer = await client.log_in("wren-1", CUSTOMER_KEY.key, SERVICE)
                     if answer[0] == 0xFF:
