Start without socket buffer sizes or the allocator's setting where they are refused

Cause: a machine that refuses either option would keep a host from starting. Change: a log line says so, and the host starts.

--- a/libs/base/src/pistachiowinch/base/allocator.py
+++ b/libs/base/src/pistachiowinch/base/allocator.py
@@ -1,7 +1,5 @@
 """Setting of the C library's allocator."""
 
-import ctypes
-
 __all__ = ["return_large_blocks"]
 
 # glibc's M_MMAP_THRESHOLD.
@@ -14,11 +12,13 @@
     """Let freed blocks of large messages return to the system at once.
 
     By default glibc raises its threshold with each large block that is freed, and keeps the
-    following ones in a heap that fragments: a crowd of large answers left 100 MB there.
+    following ones in a heap that fragments.
 
     :returns: whether the C library accepted it; others than glibc have no such setting.
     """
     try:
+        import ctypes
+
         return bool(ctypes.CDLL(None).mallopt(_MMAP_THRESHOLD, _LARGE_BLOCK_BYTES))
-    except (OSError, AttributeError):
+    except (ImportError, OSError, AttributeError):
         return False
--- a/libs/base/src/pistachiowinch/base/sockets.py
+++ b/libs/base/src/pistachiowinch/base/sockets.py
@@ -3,6 +3,8 @@
 import asyncio
 import socket
 
+from pistachiowinch.base.logs import part_logger
+
 __all__ = ["ACCEPT_BURST", "Listener", "listen", "set_socket_options"]
 
 # Connections accepted at once. The event loop serves other work before the next ones, and those
@@ -17,6 +19,8 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 3
 
+_log = part_logger("sockets")
+
 
 class Listener(socket.socket):
     """Listening socket whose backlog does not depend on the number of connections accepted at once.
@@ -46,8 +50,7 @@
     listener = Listener(family, socket.SOCK_STREAM)
     try:
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, buffer_bytes)
+        _set_buffers(listener, buffer_bytes)
         listener.bind((host, int(port)))
     except OSError:
         listener.close()
@@ -56,6 +59,15 @@
     return listener
 
 
+def _set_buffers(listener: socket.socket, buffer_bytes: int) -> None:
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, buffer_bytes)
+    except OSError as error:
+        # Callers are served all the same; only what the kernel holds for them is not bounded.
+        _log.warning("The size of socket buffers cannot be set: {}.", error)
+
+
 def set_socket_options(writer: asyncio.StreamWriter | asyncio.BaseTransport) -> None:
     """Set the options of a connection's socket.
 
