Do not fail on a caller that is lost or closed while it waits to open its session

Cause: a connection that had been lost, or had given way, was looked up again: KeyError in the accept path, or a session opened on a closed connection. Change: lost connections leave the order of arrival; a closed one opens no session. Measured: tests/entry/test_callers.py passes, with a test of the case.

--- a/libs/entry/src/pistachiowinch/entry/callers.py
+++ b/libs/entry/src/pistachiowinch/entry/callers.py
@@ -254,8 +254,15 @@
 
     def _on_lost(self, stream: CallerStream) -> None:
         del self._streams[stream.usage]
+        caller = self._callers.get(stream.usage)
+        if caller is not None:
+            self._unopened.pop(caller, None)
 
     def _close_by_limit(self, usage: CallerUsage, reason: CloseReason) -> None:
+        stream = self._streams.get(usage)
+        if stream is None:
+            # It was lost in the meantime.
+            return
         self._closed_by_limit[reason] += 1
         self._context.metrics.callers_closed.labels(reason.value).inc()
         caller = self._callers.get(usage)
@@ -263,7 +270,7 @@
             self._unopened.pop(caller, None)
             if caller.is_waiting:
                 self._tell_reason(caller, reason)
-        self._streams[usage].abort_after_write()
+        stream.abort_after_write()
 
     def _tell_reason(self, caller: _Caller, reason: CloseReason) -> None:
         """Tell a caller why it is closed; no statement of its is running."""
@@ -312,7 +319,7 @@
     async def _run_session(self, caller: _Caller) -> None:
         caller.is_waiting = True
         async with asyncio.timeout(FIRST_LINE_TIMEOUT_S):
-            line = await self._read_line(caller)
+            line = await caller.stream.read_line()
         caller.is_waiting = False
         caller.stream.end_message()
         await self._wait_for_configuration()
@@ -327,7 +334,7 @@
         A message and its answer are referenced only here, so that idle sessions do not hold them.
         """
         caller.is_waiting = True
-        line = await self._read_line(caller)
+        line = await caller.stream.read_line()
         caller.is_waiting = False
         match self._codec.decode(line):
             case CallerQuit():
@@ -377,10 +384,10 @@
             async with asyncio.timeout(CONFIGURATION_WAIT_S):
                 await is_configured.wait()
 
-    async def _read_line(self, caller: _Caller) -> bytes:
-        return await caller.stream.read_line()
-
     def _open_session(self, caller: _Caller, line: bytes) -> bool:
+        if caller not in self._unopened:
+            # It was closed while it waited for the configuration.
+            return False
         start = self._codec.decode_start(line)
         if start is None:
             refusal = self._refuse(MALFORMED_PACKET, "not the first message of a session")
--- a/tests/entry/test_callers.py
+++ b/tests/entry/test_callers.py
@@ -6,6 +6,7 @@
 import pytest
 from sessions.fake_group import World
 
+from pistachiowinch.base.caller_limits import DEFAULT_MACHINE, MachineLimits
 from pistachiowinch.base.decisions import DecisionLog
 from pistachiowinch.entry.callers import CallerServer
 from pistachiowinch.platform.callers import LineCallerCodec
@@ -36,10 +37,12 @@
 class Site:
     """A server for callers over fake targets."""
 
-    def __init__(self) -> None:
+    def __init__(self, machine: MachineLimits = DEFAULT_MACHINE) -> None:
         """Create a server."""
         self.world = World()
-        self.server = CallerServer(self.world.context, LineCallerCodec(), DecisionLog("test"))
+        self.server = CallerServer(
+            self.world.context, LineCallerCodec(), DecisionLog("test"), machine
+        )
         self.port = 0
 
     async def start(self) -> None:
@@ -252,3 +255,20 @@
     monkeypatch.undo()
     assert site.world.primary.connections == 0
     assert (await client.ask("QUERY q4 READ 1"))[0].startswith("DONE")
+
+
+async def test_a_connection_without_a_session_gives_way_to_a_new_one():
+    """Guards against silent connections that keep callers out, also while they wait to open."""
+    site = Site(MachineLimits(DEFAULT_MACHINE.memory_bytes, 204))
+    configuration = unconfigure(site)
+    await site.start()
+    # This one has sent its first message and waits for the configuration when it has to give way.
+    first = await site.client()
+    first.writer.write(b"START primary key\r\n")
+    others = [await site.client() for _ in range(3)]
+    site.world.view.set_configuration(configuration, "test")
+    assert "READY" not in "".join(await first.ask("QUERY q1 READ 1"))
+    assert await others[-1].ask("START primary key") == ["READY I -"]
+    assert site.server.count == 3
+    site.server.stop_listening()
+    site.server.close_all()
