--- a/libs/base/src/pistachiowinch/base/caller_limits.py
+++ b/libs/base/src/pistachiowinch/base/caller_limits.py
@@ -54,8 +54,8 @@
 REFUSED_FRACTION = 0.125
 # Longer than the time in which any caller waits for an answer.
 MESSAGE_TIMEOUT_S = 15.0
-# Time without progress of an answer.
-ANSWER_TIMEOUT_S = 15.0
+# Time without progress of an answer; a driver may pause between the rows of a long result.
+ANSWER_TIMEOUT_S = 30.0
 # While others wait for memory, a message that takes longer gives up its reservation.
 PRESSED_MESSAGE_TIMEOUT_S = 1.0
 _MEBIBYTE = 1024 * 1024
