--- a/libs/standins/src/pistachiowinch/standins/platform_documents.py
+++ b/libs/standins/src/pistachiowinch/standins/platform_documents.py
@@ -79,8 +79,8 @@
     store_address: str
     orders_address: str
     stop_within_s: float
-    usage_window_s: float
-    usage_due_s: float
+    usage_window_s: float = 5.0
+    usage_due_s: float = 10.0
 
 
 def configuration_put(
