--- a/libs/standins/src/pistachiowinch/standins/http_orders.py
+++ b/libs/standins/src/pistachiowinch/standins/http_orders.py
@@ -45,7 +45,7 @@
     def __init__(
         self,
         handler: Callable[[PromotionOrder], Awaitable[bool]],
-        on_usage: Callable[[UsageReport], None],
+        on_usage: Callable[[UsageReport], None] = lambda report: None,
     ) -> None:
         """Create a server that does not listen yet."""
         self._handler = handler
