--- a/libs/sessions/src/pistachiowinch/sessions/pool_client.py
+++ b/libs/sessions/src/pistachiowinch/sessions/pool_client.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import itertools
+import random
 from collections.abc import Iterable, Sequence
 
 from pistachiowinch.base.clock import now_s, sleep_s
@@ -35,6 +36,8 @@
 
 __all__ = ["PoolClient"]
 
+# Size of the random part of a run's first number.
+FIRST_NUMBER_BITS = 46
 # Interval of the check for answers that are owed.
 WATCH_INTERVAL_S = 0.05
 # Time beyond a statement's deadline in which its answer is still expected; covers a round trip.
@@ -92,7 +95,9 @@
         self._metrics = metrics
         self._log = log
         self._contacts = PoolContacts()
-        self._numbers = itertools.count(1)
+        # With a random start, answers to statements of an earlier run match none of this one.
+        first = random.SystemRandom().getrandbits(FIRST_NUMBER_BITS) | 1 << FIRST_NUMBER_BITS
+        self._numbers = itertools.count(first)
         self._owed: dict[int, _Owed] = {}
         self._tasks: set[asyncio.Task] = set()
         link.on_message(PoolAnswer, self._on_answer)
--- a/libs/sessions/src/pistachiowinch/sessions/pool_server.py
+++ b/libs/sessions/src/pistachiowinch/sessions/pool_server.py
@@ -54,6 +54,11 @@
 MAX_STATEMENTS = 2048
 # Numbers of a host's latest statements that are remembered, to ignore repeated messages.
 REMEMBERED_NUMBERS = 1024
+# Transactions whose end has arrived before their beginning; far more than begin at a time.
+REMEMBERED_ENDS = 256
+# Time for which a statement that holds a slot waits for a connection: several times what opening
+# one takes. Transactions whose callers pause may hold all connections, and need slots to end.
+CONNECTION_WAIT_S = 0.15
 # Time beyond the idle limit of transactions after which one of a silent host is rolled back.
 ORPHAN_GRACE_S = 1.0
 # Advised delay while a target cannot be reached: detection and a switch take about two of these.
@@ -61,23 +66,27 @@
 
 
 class _Peer:
-    """The latest run of a host that hands statements over."""
+    """The latest run of a host that hands statements over, and its earlier ones."""
 
-    __slots__ = ("numbers", "order", "run")
+    __slots__ = ("earlier_runs", "forgotten", "numbers", "order", "run")
 
-    def __init__(self, run: int) -> None:
+    def __init__(self, run: int, earlier_runs: frozenset[int] = frozenset()) -> None:
         self.run = run
+        self.earlier_runs = earlier_runs
         self.numbers: set[int] = set()
         self.order: deque[int] = deque()
+        self.forgotten = 0
 
     def is_new(self, number: int) -> bool:
-        """Remember a statement's number; false if it was known."""
-        if number in self.numbers:
+        """Remember a statement's number; false if it was known, or is too old to tell."""
+        if number in self.numbers or number <= self.forgotten:
             return False
         self.numbers.add(number)
         self.order.append(number)
         if len(self.order) > REMEMBERED_NUMBERS:
-            self.numbers.discard(self.order.popleft())
+            oldest = self.order.popleft()
+            self.numbers.discard(oldest)
+            self.forgotten = max(self.forgotten, oldest)
         return True
 
 
@@ -121,6 +130,8 @@
         self._queues: dict[str, SlotQueue] = {}
         self._peers: dict[str, _Peer] = {}
         self._transactions: dict[_TransactionKey, _HostedTransaction] = {}
+        # Ended before they began, as messages may overtake each other.
+        self._ended_early: deque[_TransactionKey] = deque(maxlen=REMEMBERED_ENDS)
         self._tasks: set[asyncio.Task] = set()
         self._running = 0
         link.on_message(PoolStatement, self._on_statement)
@@ -174,6 +185,10 @@
         self._running += 1
         try:
             outcome = await self._run_checked(host, message)
+        except Exception as error:
+            cause = type(error).__name__
+            self._log.write("hosted_failed", request=message.request_id, cause=cause)
+            outcome = Interrupted(True, "the pool host failed; see its log")
         finally:
             self._running -= 1
         load = encode_load(self._load(message))
@@ -184,10 +199,12 @@
 
     def _on_statement(self, host: str, message: PoolStatement) -> None:
         peer = self._peers.get(host)
-        if peer is None or peer.run != message.run:
-            self._forget_run(host)
+        if peer is None:
             peer = self._peers[host] = _Peer(message.run)
-        if not peer.is_new(message.number):
+        elif peer.run != message.run and message.run not in peer.earlier_runs:
+            self._forget_run(host)
+            peer = self._peers[host] = _Peer(message.run, peer.earlier_runs | {peer.run})
+        if peer.run != message.run or not peer.is_new(message.number):
             self._log.write("statement_repeated", host=host, request=message.request_id)
             return
         task = asyncio.get_running_loop().create_task(self._answer(host, message))
@@ -195,20 +212,15 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _answer(self, host: str, message: PoolStatement) -> None:
-        try:
-            answer = await self.serve(host, message)
-        except Exception as error:
-            cause = type(error).__name__
-            self._log.write("hosted_failed", request=message.request_id, cause=cause)
-            outcome = encode_outcome(Interrupted(True, "the pool host failed; see its log"))
-            answer = PoolAnswer(message.number, outcome, encode_load(self._load(message)))
-        await self._link.send(host, answer)
+        await self._link.send(host, await self.serve(host, message))
 
     def close_transaction(self, host: str, message: PoolClose) -> None:
         """Roll a transaction back, because its caller ended it or left."""
         key = _TransactionKey(host, message.run, message.transaction)
         if key in self._transactions:
             self._end(key, "its caller ended it")
+        else:
+            self._ended_early.append(key)
 
     async def _on_ping(self, _: str, __: PoolPing) -> PoolPong:
         return PoolPong(self._run, not self.is_stopping)
@@ -263,9 +275,13 @@
         grant = await queue.acquire(self._demand(message, deadline_s, False))
         if isinstance(grant, SlotRefusal):
             return self._note_declined(message, Declined(grant.reason, grant.retry_after_s))
+        is_sample = False
         try:
             request = ConnectionRequest(
-                message.customer, lambda: [[target]], message.priority, deadline_s
+                message.customer,
+                lambda: [[target]],
+                message.priority,
+                min(deadline_s, now_s() + CONNECTION_WAIT_S),
             )
             pooled = await context.connections.acquire(message.service, request)
             if isinstance(pooled, Refusal):
@@ -274,6 +290,7 @@
             is_begun = False
             try:
                 outcome = await self._exchange(pooled, message, statement, deadline_s)
+                is_sample = self._note_outcome(queue, statement, outcome)
                 if message.transaction and isinstance(outcome, Completed):
                     self._begin(key, message, pooled)
                     is_begun = True
@@ -281,8 +298,7 @@
                 if not is_begun:
                     context.connections.release(pooled)
         finally:
-            queue.release(grant, not isinstance(statement, Begin))
-        self._note_outcome(queue, outcome)
+            queue.release(grant, is_sample)
         return outcome
 
     async def _run_in(
@@ -299,14 +315,15 @@
         grant = await queue.acquire(self._demand(message, deadline_s, True))
         if isinstance(grant, SlotRefusal):
             return self._note_declined(message, Declined(grant.reason, grant.retry_after_s))
+        is_sample = False
         try:
             if transaction.is_ended:
                 return Interrupted(False, "the transaction was aborted")
             pooled = transaction.borrowed.pooled
             outcome = await self._exchange(pooled, message, statement, deadline_s)
+            is_sample = self._note_outcome(queue, statement, outcome)
         finally:
-            queue.release(grant, not isinstance(statement, Rollback))
-        self._note_outcome(queue, outcome)
+            queue.release(grant, is_sample)
         ends = isinstance(statement, Commit | Rollback)
         if ends and isinstance(outcome, Completed):
             if self._forget(key) is not None:
@@ -348,6 +365,8 @@
             self._context.work.add_transaction(
                 message.service, transaction, lambda cause: self._end(key, cause)
             )
+        if key in self._ended_early:
+            self._end(key, "its caller ended it")
 
     def _end(self, key: _TransactionKey, cause: str) -> None:
         """Roll a transaction back by closing its connection."""
@@ -424,10 +443,16 @@
             is_continuation,
         )
 
-    def _note_outcome(self, queue: SlotQueue, outcome: StatementOutcome) -> None:
-        match outcome:
-            case Refused(reason=ReasonRefused.BUSY):
-                queue.pause(BUSY_PAUSE_S)
+    def _note_outcome(
+        self, queue: SlotQueue, statement: Statement, outcome: StatementOutcome
+    ) -> bool:
+        """Pause a target that is full.
+
+        :returns: whether the statement's time tells how long statements hold a slot.
+        """
+        if isinstance(outcome, Refused) and outcome.reason is ReasonRefused.BUSY:
+            queue.pause(BUSY_PAUSE_S)
+        return isinstance(outcome, Completed) and not isinstance(statement, Begin | Rollback)
 
     def _note_declined(self, message: PoolStatement, declined: Declined) -> Declined:
         self._context.metrics.refusals.labels(f"pool_{declined.reason}").inc()
--- a/libs/sessions/src/pistachiowinch/sessions/shared_connection.py
+++ b/libs/sessions/src/pistachiowinch/sessions/shared_connection.py
@@ -141,7 +141,12 @@
         can_give_up = self._transaction != 0 or not message.is_write
         if isinstance(statement, Commit):
             can_give_up = False
-        outcome = await self._client.submit(self.host, message, can_give_up, deadline_s)
+        try:
+            outcome = await self._client.submit(self.host, message, can_give_up, deadline_s)
+        except BaseException:
+            # The caller left while the statement ran.
+            self.close()
+            raise
         if isinstance(outcome, Interrupted):
             self.close()
         elif isinstance(statement, Commit | Rollback):
--- a/tests/sessions/test_pool_hosts.py
+++ b/tests/sessions/test_pool_hosts.py
@@ -3,6 +3,7 @@
 import asyncio
 from types import SimpleNamespace
 
+import msgspec
 import pytest
 from sessions.fake_group import SERVICE
 from sessions.shared_pools import SLOTS, SharedWorlds
@@ -14,7 +15,7 @@
 from pistachiowinch.base.identity import HostIdentity
 from pistachiowinch.links.statements import Begin, ReasonRefused, Rollback, SetValue
 from pistachiowinch.sessions.pool_hosts import PoolHosts
-from pistachiowinch.sessions.pool_messages import PoolStatement
+from pistachiowinch.sessions.pool_messages import PoolClose, PoolStatement
 from pistachiowinch.sessions.replies import CompletedStatement
 from pistachiowinch.sessions.shutdown import Shutdown
 from pistachiowinch.sessions.site import SiteView, Target
@@ -182,6 +183,68 @@
     assert len(shared.worlds["h0"].primary.runs) == 1
 
 
+async def test_late_messages_of_an_earlier_run_change_nothing():
+    """TWICE and LOST: a delayed message of a dead process runs, or ends its successor's work."""
+    shared = SharedWorlds()
+    host = shared.pool_host("a")
+    server = shared.servers[host]
+    message = PoolStatement(
+        9, 1, 0, SERVICE, "a", True, 0, "carp", 1, 900, 900, "q1", ("w", "WRITE 1 x"), True
+    )
+    server._on_statement("h9", message)
+    begin = msgspec.structs.replace(message, run=10, transaction=7, statement=("b", ""))
+    server._on_statement("h9", begin)
+    await asyncio.sleep(0.2)
+    assert not server.is_idle
+    server._on_statement("h9", msgspec.structs.replace(message, number=2))
+    await asyncio.sleep(0.2)
+    assert not server.is_idle
+    assert len(shared.worlds["h0"].primary.runs) == 1
+
+
+async def test_an_end_that_overtakes_the_beginning_ends_the_transaction():
+    """Connections of the pool host stay with transactions whose caller has left."""
+    shared = SharedWorlds()
+    server = shared.servers[shared.pool_host("a")]
+    server.close_transaction("h9", PoolClose(9, 7))
+    server._on_statement(
+        "h9",
+        PoolStatement(9, 1, 7, SERVICE, "a", True, 0, "carp", 1, 900, 900, "", ("b", ""), False),
+    )
+    await asyncio.sleep(0.2)
+    assert server.is_idle
+
+
+async def test_the_answer_to_an_earlier_run_reaches_no_caller():
+    """MIXED: after a restart, an answer to the old run's statement answers one of the new run."""
+    shared = SharedWorlds()
+    name = shared.names[0]
+    numbers = {shared.clients[name].next_number()}
+    for run in range(5):
+        shared.kill(name)
+        shared.runs[name] += 100 + run
+        shared.start(name)
+        numbers.add(shared.clients[name].next_number())
+    assert len(numbers) == 6
+
+
+async def test_pauses_inside_transactions_leave_slots_for_their_ends():
+    """Statements that wait for a connection hold all slots, which COMMITs would need."""
+    shared = SharedWorlds()
+    host = shared.pool_host("a")
+    world = shared.other_than(host)
+    shared.worlds[host].connections._limit = lambda target: 2
+    callers = [Caller(world, "primary") for _ in range(2)]
+    for caller in callers:
+        await caller(Begin(False))
+        await caller(WRITE)
+    waiting = [asyncio.ensure_future(Caller(world, "primary", "key2")(WRITE)) for _ in range(4)]
+    await asyncio.sleep(0.05)
+    replies = await asyncio.gather(*(caller(COMMIT) for caller in callers))
+    assert served(replies) == 2
+    assert served(await asyncio.gather(*waiting)) >= 2
+
+
 async def test_a_pool_host_that_sees_another_primary_does_not_write():
     """STALE and ONE: a host that has missed a switch hands a write to the old primary."""
     shared = SharedWorlds()
