Hold statements until a host that has just started has its first lease

Cause: a host accepts callers some 0.3 s before it has its lease. Statements that waited for a primary in vain were told that no connection was free.

Change: a gate holds statements until the first lease, at most 0.5 s, the most urgent routes first; then the rates' share is read at once. A host that takes longer says so at once. A held statement has its usual time to wait for a token, and up to 0.3 s after the opening, as the owners of the rate start as well. A statement without a usable primary is refused as such.

--- a/libs/entry/src/pistachiowinch/entry/host.py
+++ b/libs/entry/src/pistachiowinch/entry/host.py
@@ -59,6 +59,7 @@
 from pistachiowinch.sessions.primary_work import PrimaryWork
 from pistachiowinch.sessions.probing import TargetProber
 from pistachiowinch.sessions.site import SiteView
+from pistachiowinch.sessions.start_gate import StartGate
 
 __all__ = ["Host"]
 
@@ -221,6 +222,7 @@
             log=self._log.for_part("sessions"),
             availability_zone=self._identity.availability_zone,
             is_outdated=lambda: self.is_outdated,
+            start_gate=StartGate(lambda: self.primary_lease.is_valid, self._rates.refresh),
         )
         self._prober = TargetProber(self.view, health, links.targets)
         self._operators_follower = PrefixFollower(
--- a/libs/limits/src/pistachiowinch/limits/rates.py
+++ b/libs/limits/src/pistachiowinch/limits/rates.py
@@ -331,6 +331,11 @@
             for task in tuple(self._tasks):
                 task.cancel()
 
+    def refresh(self) -> None:
+        """Read the share now and credit resumed tokens, instead of at the next check."""
+        if self._last_tick_s is not None:
+            self._tick()
+
     # Customers
 
     def _set_limit(self, customer: str, limit: RateLimit) -> None:
--- a/libs/sessions/src/pistachiowinch/sessions/borrowing.py
+++ b/libs/sessions/src/pistachiowinch/sessions/borrowing.py
@@ -71,6 +71,9 @@
         )
         found = await context.connections.acquire(service, request)
         if isinstance(found, Refusal):
+            if placement.must_be_primary and not context.leased_primary(service):
+                # No connection would have helped.
+                return _refuse(context, "no primary could be used in time")
             return found
         borrowed = _recheck(context, placement, found)
         if borrowed is not None:
--- a/libs/sessions/src/pistachiowinch/sessions/context.py
+++ b/libs/sessions/src/pistachiowinch/sessions/context.py
@@ -16,6 +16,7 @@
 from pistachiowinch.sessions.primary_work import PrimaryWork
 from pistachiowinch.sessions.shutdown import NO_SHUTDOWN, Shutdown
 from pistachiowinch.sessions.site import SiteView
+from pistachiowinch.sessions.start_gate import OPEN_GATE, StartGate
 
 __all__ = ["PrimaryView", "RateLimiter", "SessionContext"]
 
@@ -51,6 +52,7 @@
     :param is_stopping: whether the host refuses new operations.
     :param shutdown: limits of statements after a stop signal.
     :param is_outdated: returns whether a newer configuration is in force that this host lacks.
+    :param start_gate: holds statements until the host has its first lease.
     """
 
     view: SiteView
@@ -66,6 +68,7 @@
     is_stopping: bool = False
     shutdown: Shutdown = NO_SHUTDOWN
     is_outdated: Callable[[], bool] = lambda: False
+    start_gate: StartGate = OPEN_GATE
     outages: ServiceOutages = field(default_factory=ServiceOutages)
     freshness: dict[str, FreshnessLog] = field(default_factory=dict)
 
--- a/libs/sessions/src/pistachiowinch/sessions/session.py
+++ b/libs/sessions/src/pistachiowinch/sessions/session.py
@@ -7,6 +7,7 @@
 from pistachiowinch.base.clock import now_s
 from pistachiowinch.base.codes import (
     BAD_KEY,
+    HOST_ISOLATED,
     HOST_STOPPING,
     KEY_WITHDRAWN,
     NO_CONFIGURATION,
@@ -172,11 +173,15 @@
         if isinstance(admitted, Refusal):
             return admitted
         route, customer = admitted
+        if not await self._context.start_gate.passes(route.priority):
+            detail = "this host has just started and cannot prove which target is primary"
+            return self._refuse(HOST_ISOLATED, f"{detail}; use another")
         operation = Operation(route, customer, self._state, started_s, RateToken())
         if customer == ANONYMOUS_CUSTOMER or self._context.rates.try_acquire(customer):
             return operation
-        wait_s = route.target_latency_s * RATE_WAIT_FRACTION
-        deadline_s = self._context.shutdown.deadline_s(started_s, wait_s)
+        wait_s = self._context.start_gate.extend(route.target_latency_s * RATE_WAIT_FRACTION)
+        # A statement that was held until the host had a lease has waited for no token yet.
+        deadline_s = self._context.shutdown.deadline_s(now_s(), wait_s)
         match await self._context.rates.acquire(customer, deadline_s):
             case Failure(refusal):
                 return refusal
--- a/tests/sessions/test_outages.py
+++ b/tests/sessions/test_outages.py
@@ -78,3 +78,12 @@
     world.health.note_alive("a")
     world.context.update_outages()
     assert isinstance(await caller(READ), CompletedStatement)
+
+
+async def test_a_statement_that_waited_for_a_primary_in_vain_is_told_so():
+    """During a switch callers were told that no connection was free, though none was missing."""
+    world = World()
+    world.primaries.name = ""
+    reply = await Caller(world, "primary")(READ)
+    assert isinstance(reply, Refusal) and reply.code is NO_PRIMARY
+    assert "retry after" in reply.detail
