--- a/libs/links/src/pistachiowinch/links/statements.py
+++ b/libs/links/src/pistachiowinch/links/statements.py
@@ -5,9 +5,10 @@
 """
 
 import enum
-from dataclasses import dataclass
 from typing import NamedTuple, Protocol
 
+from msgspec import Struct
+
 __all__ = [
     "NO_REQUEST_ID",
     "Begin",
@@ -48,49 +49,42 @@
     number: int
 
 
-@dataclass(frozen=True, slots=True)
-class Begin:
+class Begin(Struct, frozen=True):
     """Opens a transaction; a read-only one may run on a replica."""
 
     is_read_only: bool
 
 
-@dataclass(frozen=True, slots=True)
-class Commit:
+class Commit(Struct, frozen=True):
     """Commits the open transaction."""
 
     text: str
 
 
-@dataclass(frozen=True, slots=True)
-class Rollback:
+class Rollback(Struct, frozen=True):
     """Rolls the open transaction back."""
 
 
-@dataclass(frozen=True, slots=True)
-class Read:
+class Read(Struct, frozen=True):
     """Reads data."""
 
     text: str
 
 
-@dataclass(frozen=True, slots=True)
-class Write:
+class Write(Struct, frozen=True):
     """Changes data."""
 
     text: str
 
 
-@dataclass(frozen=True, slots=True)
-class SetValue:
+class SetValue(Struct, frozen=True):
     """Sets a value of the session."""
 
     name: str
     value: str
 
 
-@dataclass(frozen=True, slots=True)
-class Prepare:
+class Prepare(Struct, frozen=True):
     """Prepares a statement under a name for later use in the same session.
 
     :param template: text of the prepared statement.
@@ -101,8 +95,7 @@
     template: str
 
 
-@dataclass(frozen=True, slots=True)
-class Execute:
+class Execute(Struct, frozen=True):
     """Runs a prepared statement.
 
     :param arguments: the statement's text after the prepared name.
@@ -112,15 +105,13 @@
     arguments: str
 
 
-@dataclass(frozen=True, slots=True)
-class Deallocate:
+class Deallocate(Struct, frozen=True):
     """Removes a prepared statement."""
 
     name: str
 
 
-@dataclass(frozen=True, slots=True)
-class Unsupported:
+class Unsupported(Struct, frozen=True):
     """A statement of any other kind."""
 
     text: str
