--- a/libs/entry/src/pistachiowinch/entry/host.py
+++ b/libs/entry/src/pistachiowinch/entry/host.py
@@ -64,6 +64,7 @@
 from pistachiowinch.sessions.primary_work import PrimaryWork
 from pistachiowinch.sessions.probing import TargetProber
 from pistachiowinch.sessions.site import SiteView
+from pistachiowinch.sessions.start_gate import StartGate
 from pistachiowinch.sessions.target_loads import TargetLoads, ZoneCost
 from pistachiowinch.sessions.zone_placement import ZonePlacement
 
@@ -241,6 +242,7 @@
             log=self._log.for_part("sessions"),
             availability_zone=self._identity.availability_zone,
             is_outdated=lambda: self.is_outdated,
+            start_gate=StartGate(lambda: self.primary_lease.is_valid, self._rates.refresh),
         )
         self._build_shared_pools(shares)
         self._prober = TargetProber(self.view, health, links.targets)
--- a/libs/sessions/src/pistachiowinch/sessions/context.py
+++ b/libs/sessions/src/pistachiowinch/sessions/context.py
@@ -18,6 +18,7 @@
 from pistachiowinch.sessions.request_counting import NoRequestCounts, RequestCounts
 from pistachiowinch.sessions.shutdown import NO_SHUTDOWN, Shutdown
 from pistachiowinch.sessions.site import SiteView
+from pistachiowinch.sessions.start_gate import OPEN_GATE, StartGate
 
 __all__ = ["PrimaryView", "RateLimiter", "SessionContext"]
 
@@ -55,6 +56,7 @@
     :param request_counts: counts the requests that began to run, for the usage reports.
     :param is_outdated: returns whether a newer configuration is in force that this host lacks.
     :param shared_pools: hands statements to pool hosts; None if this host never does.
+    :param start_gate: holds statements until the host has its first lease.
     """
 
     view: SiteView
@@ -72,6 +74,7 @@
     is_outdated: Callable[[], bool] = lambda: False
     shared_pools: SharedPools | None = None
     request_counts: RequestCounts = field(default_factory=NoRequestCounts)
+    start_gate: StartGate = OPEN_GATE
     outages: ServiceOutages = field(default_factory=ServiceOutages)
     freshness: dict[str, FreshnessLog] = field(default_factory=dict)
 
