--- a/libs/entry/src/pistachiowinch/entry/host.py
+++ b/libs/entry/src/pistachiowinch/entry/host.py
@@ -401,7 +401,11 @@
     async def leave(self) -> None:
         """Hand over usage counts, return borrowed rate tokens, leave the fleet and stop."""
         self._pool_server.close()
-        await asyncio.gather(self._usage.hand_over(), self._rates.return_loans())
+        for error in await asyncio.gather(
+            self._usage.hand_over(), self._rates.return_loans(), return_exceptions=True
+        ):
+            if isinstance(error, Exception):
+                self._log.write("leave_incomplete", cause=repr(error))
         self._hosts.resign()
         await self._registration.leave()
         for task in self._tasks:
