Pass over a pool host that does not reach its target

Change: a pool host that suspects its target says so; the statement goes to the next one, and is refused at once if none of them reaches the target. Measured: by the test only.

--- a/libs/sessions/src/pistachiowinch/sessions/borrowing.py
+++ b/libs/sessions/src/pistachiowinch/sessions/borrowing.py
@@ -106,15 +106,22 @@
     primary = context.leased_primary(service)
     epoch = context.primaries.epoch(service)
     required = required_position(context, operation)
+    is_cut_off = False
     for target in targets:
         is_primary = target.name == primary
         host = shared.host_of(target)
-        if not host or not (is_primary or required is not None):
+        if not host:
+            is_cut_off = is_cut_off or shared.is_unreachable(target)
+            continue
+        if not is_primary and required is None:
             continue
         pooled = shared.connect(
             host, target, operation.customer, is_primary, epoch, operation.route.priority
         )
         return BorrowedConnection(pooled, is_primary, epoch, None if is_primary else required)
+    if is_cut_off:
+        context.metrics.refusals.labels(TARGET_UNREACHABLE.label).inc()
+        return Refusal(TARGET_UNREACHABLE, with_retry_after("no pool host reaches the target"))
     return None
 
 
--- a/libs/sessions/src/pistachiowinch/sessions/pool_client.py
+++ b/libs/sessions/src/pistachiowinch/sessions/pool_client.py
@@ -20,6 +20,7 @@
 from pistachiowinch.sessions.pool_contacts import PING_TIMEOUT_S, PoolContacts
 from pistachiowinch.sessions.pool_hosts import PoolHosts
 from pistachiowinch.sessions.pool_messages import (
+    UNREACHABLE,
     Declined,
     PoolAnswer,
     PoolClose,
@@ -112,14 +113,26 @@
 
     def host_of(self, target: Target) -> str:
         """Return the pool host to use for a target now; empty if none can be used."""
-        for host in self._hosts.of(target):
-            if host == self._host:
-                if not self._server.is_stopping:
-                    return host
-            elif self._contacts.may_use(host):
+        for host in self._usable_hosts(target):
+            if not self._contacts.is_cut_off(host, target.name):
                 return host
         return ""
 
+    def is_unreachable(self, target: Target) -> bool:
+        """Whether no pool host that can be used reaches a target."""
+        hosts = self._usable_hosts(target)
+        return bool(hosts) and all(self._contacts.is_cut_off(h, target.name) for h in hosts)
+
+    def _usable_hosts(self, target: Target) -> list[str]:
+        """Return the target's pool hosts that take statements, the preferred one first."""
+        return [
+            host
+            for host in self._hosts.of(target)
+            if (
+                not self._server.is_stopping if host == self._host else self._contacts.may_use(host)
+            )
+        ]
+
     def order_reads(
         self,
         service: str,
@@ -223,8 +236,11 @@
         except ValueError as error:
             self._log.write("answer_malformed", host=host, cause=str(error))
             return Interrupted(True, str(error))
-        if isinstance(outcome, Declined) and outcome.is_local:
-            self._contacts.note_declined(host)
+        match outcome:
+            case Declined(reason=reason, is_local=True) if reason == UNREACHABLE:
+                self._contacts.note_cut_off(host, message.target)
+            case Declined(is_local=True):
+                self._contacts.note_declined(host)
         return outcome
 
     def _account(
--- a/libs/sessions/src/pistachiowinch/sessions/pool_contacts.py
+++ b/libs/sessions/src/pistachiowinch/sessions/pool_contacts.py
@@ -41,6 +41,7 @@
     def __init__(self) -> None:
         """Create a record without hosts."""
         self._contacts: dict[str, _Contact] = {}
+        self._cut_off_until_s: dict[tuple[str, str], float] = {}
 
     def may_use(self, host: str) -> bool:
         """Whether new statements may be handed to a host."""
@@ -80,6 +81,18 @@
         """Record that a host accepts no statements for a reason of its own."""
         self._contact(host).avoided_until_s = now_s() + DECLINED_PAUSE_S
 
+    def note_cut_off(self, host: str, target: str) -> None:
+        """Record that a host does not reach a target."""
+        self._cut_off_until_s[host, target] = now_s() + DECLINED_PAUSE_S
+
+    def is_cut_off(self, host: str, target: str) -> bool:
+        """Whether a host said lately that it does not reach a target."""
+        until_s = self._cut_off_until_s.get((host, target))
+        if until_s is not None and now_s() >= until_s:
+            del self._cut_off_until_s[host, target]
+            return False
+        return until_s is not None
+
     def due_pings(self, oldest_sent_s: dict[str, float]) -> list[str]:
         """Return the hosts to ask now.
 
@@ -105,6 +118,8 @@
         """Drop the hosts that left the fleet."""
         for host in self._contacts.keys() - known:
             del self._contacts[host]
+        for key in [key for key in self._cut_off_until_s if key[0] not in known]:
+            del self._cut_off_until_s[key]
 
     def _contact(self, host: str) -> _Contact:
         contact = self._contacts.get(host)
--- a/libs/sessions/src/pistachiowinch/sessions/pool_gateway.py
+++ b/libs/sessions/src/pistachiowinch/sessions/pool_gateway.py
@@ -18,6 +18,9 @@
     def host_of(self, target: Target) -> str:
         """Return the pool host to use for a target now; empty if none can be used."""
 
+    def is_unreachable(self, target: Target) -> bool:
+        """Whether no pool host that can be used reaches a target."""
+
     def order_reads(
         self,
         service: str,
--- a/libs/sessions/src/pistachiowinch/sessions/pool_messages.py
+++ b/libs/sessions/src/pistachiowinch/sessions/pool_messages.py
@@ -23,6 +23,7 @@
 from pistachiowinch.sessions.target_loads import LoadReport
 
 __all__ = [
+    "UNREACHABLE",
     "Declined",
     "PoolAnswer",
     "PoolClose",
@@ -39,6 +40,8 @@
     "encode_statement",
 ]
 
+# Reason of a pool host that does not reach the target, though another one may.
+UNREACHABLE = "unreachable"
 _REASONS = {reason.value: reason for reason in ReasonRefused}
 _COMPLETED, _REFUSED, _INTERRUPTED, _DECLINED = range(4)
 
--- a/libs/sessions/src/pistachiowinch/sessions/pool_server.py
+++ b/libs/sessions/src/pistachiowinch/sessions/pool_server.py
@@ -32,6 +32,7 @@
 from pistachiowinch.sessions.context import SessionContext
 from pistachiowinch.sessions.exchanges import BUSY_PAUSE_S, exchange
 from pistachiowinch.sessions.pool_messages import (
+    UNREACHABLE,
     Declined,
     PoolAnswer,
     PoolClose,
@@ -400,7 +401,8 @@
         if self._running > MAX_STATEMENTS:
             return Declined("overload", UNREACHABLE_RETRY_S, True)
         if self._context.health.is_suspected(name):
-            return self._note_declined(message, Declined("unreachable", UNREACHABLE_RETRY_S))
+            declined = Declined(UNREACHABLE, UNREACHABLE_RETRY_S, True)
+            return self._note_declined(message, declined)
         return None
 
     def _known_lag(self, message: PoolStatement) -> Refused | None:
--- a/libs/sessions/src/pistachiowinch/sessions/replies.py
+++ b/libs/sessions/src/pistachiowinch/sessions/replies.py
@@ -5,7 +5,7 @@
 from pistachiowinch.base.codes import QUEUE_FULL, TARGET_UNREACHABLE, Refusal
 from pistachiowinch.base.metrics import Metrics
 from pistachiowinch.links.statements import Position, Refused
-from pistachiowinch.sessions.pool_messages import Declined
+from pistachiowinch.sessions.pool_messages import UNREACHABLE, Declined
 
 __all__ = [
     "NO_RECEIPT",
@@ -49,7 +49,7 @@
 
 def refuse_declined(metrics: Metrics, declined: Declined) -> Refusal:
     """Return the refusal of a statement that its target's pool host declined."""
-    code = TARGET_UNREACHABLE if declined.reason == "unreachable" else QUEUE_FULL
+    code = TARGET_UNREACHABLE if declined.reason == UNREACHABLE else QUEUE_FULL
     metrics.refusals.labels(code.label).inc()
     detail = f"the target's pool host declined: {declined.reason}"
     return Refusal(code, with_retry_after(detail, declined.retry_after_s))
--- a/tests/sessions/test_pool_hosts.py
+++ b/tests/sessions/test_pool_hosts.py
@@ -291,6 +291,24 @@
     assert isinstance(await Caller(world, "primary")(WRITE), CompletedStatement)
 
 
+async def test_a_pool_host_that_is_cut_off_from_its_target_is_passed_over():
+    """A partition between one host and a primary keeps the whole fleet from it."""
+    shared = SharedWorlds()
+    first, second = shared.hosts["h0"].of(shared.worlds["h0"].view.targets(SERVICE)["a"])[:2]
+    for _ in range(2):
+        shared.worlds[first].health.note_failure("a", "silent")
+    world = shared.other_than(first, second)
+    assert isinstance(await Caller(world, "primary")(WRITE), CompletedStatement)
+    assert shared.servers[second].hosts_target("a")
+    for name in shared.names:
+        for _ in range(2):
+            shared.worlds[name].health.note_failure("a", "silent")
+    started_s = asyncio.get_running_loop().time()
+    reply = await Caller(world, "primary")(WRITE)
+    assert isinstance(reply, Refusal) and reply.code is codes.TARGET_UNREACHABLE
+    assert asyncio.get_running_loop().time() - started_s < 0.05
+
+
 async def test_a_refused_read_is_tried_at_another_target():
     """A read fails although another replica could serve it."""
     shared = SharedWorlds()
