Let operators weigh speed and bytes of requests that leave their zone

The placement between zones had no setting and no metric. Two variables in the deploy file's env set its weights, a faulty one is refused at the start, and a gauge shows the share of reads that left.

--- a/libs/base/src/pistachiowinch/base/metrics.py
+++ b/libs/base/src/pistachiowinch/base/metrics.py
@@ -47,6 +47,9 @@
         self.has_standing = self._gauge("has_standing", "1 while the host takes new work")
         self.sessions = self._gauge("sessions", "Open caller sessions")
         self.queue_length = self._gauge("queue_length", "Waiting requests", "service")
+        self.zone_leaving_share = self._gauge(
+            "zone_leaving_share", "Share of recent reads sent to other zones", "service"
+        )
         self.statement_seconds = self.add(
             Histogram(
                 "pistachiowinch_statement_seconds",
--- a/libs/entry/src/pistachiowinch/entry/host.py
+++ b/libs/entry/src/pistachiowinch/entry/host.py
@@ -65,7 +65,7 @@
 from pistachiowinch.sessions.probing import TargetProber
 from pistachiowinch.sessions.site import SiteView
 from pistachiowinch.sessions.start_gate import StartGate
-from pistachiowinch.sessions.target_loads import TargetLoads, ZoneCost
+from pistachiowinch.sessions.target_loads import DEFAULT_ZONE_COST, TargetLoads, ZoneCost
 from pistachiowinch.sessions.zone_placement import ZonePlacement
 
 __all__ = ["Host"]
@@ -100,6 +100,7 @@
     :param started_s: loop time at which this process was started.
     :param apply_within_s: time in which a configuration must be in force; None for the default.
     :param rate_tolerance: requests above a customer's limit that operators accept.
+    :param zone_cost: weights of speed and bytes in the choice between availability zones.
     """
 
     def __init__(
@@ -111,6 +112,7 @@
         started_s: float,
         apply_within_s: float | None = None,
         rate_tolerance: RateTolerance = NO_TOLERANCE,
+        zone_cost: ZoneCost = DEFAULT_ZONE_COST,
     ) -> None:
         """Create all components; :meth:`start` runs them."""
         self._log = log
@@ -120,6 +122,7 @@
         self._started_s = started_s
         self._apply_within_s = apply_within_s or DEFAULT_APPLY_TIMEOUT_S
         self._rate_tolerance = rate_tolerance
+        self._zone_cost = zone_cost
         self._had_lease = False
         self._was_cut_off = False
         self._configuration_lag = ConfigurationLag(self._configuration_limit_s, log)
@@ -278,6 +281,7 @@
         identity = self._identity
         log = self._log.for_part("pools")
         self._loads = TargetLoads()
+        self._placement = ZonePlacement(self._loads, identity.availability_zone, self._zone_cost)
         self._pool_server = PoolServer(
             identity.host, identity.incarnation, self.session_context, self._peer_link, log
         )
@@ -287,7 +291,7 @@
             PoolHosts(self._hosts, self.view, shares.connection_limit),
             self._pool_server,
             self._loads,
-            ZonePlacement(self._loads, identity.availability_zone, ZoneCost()),
+            self._placement,
             self._peer_link,
             self._metrics,
             log,
@@ -647,5 +651,8 @@
             self._pool_server.set_targets(targets.values())
             self._pool_server.end_idle_transactions()
             self._loads.keep_only(targets)
+            for service in self.view.services:
+                share = self._placement.share_leaving(service)
+                self._metrics.zone_leaving_share.labels(service).set(share)
             # Grace times of leaving targets and the lease expire without an event.
             self._connections.wake_all()
--- a/libs/sessions/src/pistachiowinch/sessions/target_loads.py
+++ b/libs/sessions/src/pistachiowinch/sessions/target_loads.py
@@ -11,7 +11,7 @@
 
 from pistachiowinch.base.clock import now_s
 
-__all__ = ["LoadReport", "TargetLoads", "ZoneCost"]
+__all__ = ["DEFAULT_ZONE_COST", "LoadReport", "TargetLoads", "ZoneCost"]
 
 # Time over which reported waits are averaged: shorter than a swing of demand between zones, and
 # long enough for several reports.
@@ -75,6 +75,9 @@
     byte_weight_s: float = 0.004
 
 
+DEFAULT_ZONE_COST = ZoneCost()
+
+
 class _TargetState:
     __slots__ = (
         "failure_share",
--- a/tests/operations/test_docs.py
+++ b/tests/operations/test_docs.py
@@ -79,4 +79,8 @@
 
 
 # Upper-case names in the pages that are not result codes.
-OTHER_NAMES = {"PISTACHIOWINCH_OPERATOR_KEY"}
+OTHER_NAMES = {
+    "PISTACHIOWINCH_OPERATOR_KEY",
+    "PISTACHIOWINCH_ZONE_BYTE_WEIGHT_MS",
+    "PISTACHIOWINCH_ZONE_SPEED_WEIGHT",
+}
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -5,6 +5,7 @@
 
 from pistachiowinch.base.caller_limits import DEFAULT_MACHINE, MachineLimits
 from pistachiowinch.platform.settings import SettingsError, read_settings
+from pistachiowinch.sessions.target_loads import DEFAULT_ZONE_COST
 from pistachiowinch.standins.platform_documents import HostRow, settings_bytes
 
 ROW = HostRow(
@@ -38,3 +39,15 @@
     path = write_settings(tmp_path, {"limits": {"memoryMb": 0, "maxFds": -1}})
     with pytest.raises(SettingsError, match=r"limits\.memoryMb is 0.*limits\.maxFds is -1"):
         read_settings(path)
+
+
+def test_the_weights_of_zones_come_from_the_environment(tmp_path, monkeypatch):
+    """Operators could not keep requests in their zone, or a typing error would be ignored."""
+    path = write_settings(tmp_path, {})
+    assert read_settings(path).zone_cost == DEFAULT_ZONE_COST
+    monkeypatch.setenv("PISTACHIOWINCH_ZONE_SPEED_WEIGHT", "0")
+    monkeypatch.setenv("PISTACHIOWINCH_ZONE_BYTE_WEIGHT_MS", "20")
+    assert read_settings(path).zone_cost == (0.0, 0.02)
+    monkeypatch.setenv("PISTACHIOWINCH_ZONE_BYTE_WEIGHT_MS", "much")
+    with pytest.raises(SettingsError, match="ZONE_BYTE_WEIGHT_MS is 'much'"):
+        read_settings(path)
