--- a/libs/limits/src/pistachiowinch/limits/rates.py
+++ b/libs/limits/src/pistachiowinch/limits/rates.py
@@ -507,7 +507,7 @@
             while True:
                 await self._run_round(state, is_urgent)
                 is_waiting = self._grant_waiting(state)
-                if state.bucket.share <= 0.0 and self._is_scarce(state, is_urgent and is_waiting):
+                if self._is_scarce(state, is_urgent and is_waiting):
                     self._refuse_waiting(state)
                     break
                 if not is_waiting:
@@ -531,10 +531,15 @@
             self._start_rounds(state)
 
     def _is_scarce(self, state: _CustomerState, is_short: bool = False) -> bool:
-        """Whether the customer lately asked for more than all hosts had.
+        """Whether the customer lately asked for more than all hosts had, also at this host.
 
-        :param is_short: whether it does so now.
+        Requests that arrive less often than rounds are due start few rounds in any case.
+
+        :param is_short: whether all hosts have too few tokens now.
         """
+        per_round = state.demand.rate_per_s(now_s()) * SCARCE_ROUND_INTERVAL_S
+        if state.bucket.share > 0.0 or per_round < 1.0:
+            return False
         if is_short:
             state.scarce_until_s = now_s() + SCARCE_RETENTION_S
         return now_s() < state.scarce_until_s
@@ -611,7 +616,7 @@
         demand_per_s = min(state.demand.rate_per_s(now_s()), state.bucket.limit.rate_per_s)
         excess_per_s = demand_per_s - state.bucket.generation_per_s
         horizon_s = PREFETCH_S
-        if state.bucket.share <= 0.0 and self._is_scarce(state):
+        if self._is_scarce(state):
             horizon_s = SCARCE_ROUND_INTERVAL_S
         tokens = excess_per_s * horizon_s
         # Less than one token cannot be spent, but would be missing at the lenders.
