Soak: customers at rest, so that pool hosts are in effect

The soak has two customers, so that each host's share of the connections suffices and no statement is handed over.

--- a/libs/soak/src/pistachiowinch/soak/cluster.py
+++ b/libs/soak/src/pistachiowinch/soak/cluster.py
@@ -34,7 +34,7 @@
     target_put,
 )
 
-__all__ = ["CUSTOMERS", "ROUTES", "Cluster", "ClusterSize", "SkewedClock"]
+__all__ = ["CUSTOMERS", "RESTING_CUSTOMERS", "ROUTES", "Cluster", "ClusterSize", "SkewedClock"]
 
 SYNCHRONOUS_SERVICE = "ledger"
 ASYNCHRONOUS_SERVICE = "stock"
@@ -66,6 +66,8 @@
     for row in _ROUTE_ROWS
 )
 # The callers of the second customer far exceed its rate.
+# More than four times a host's share of the connections to a target, with three hosts or more.
+RESTING_CUSTOMERS = 100
 CUSTOMERS = {"wren": Rate(1000.0, 1000.0), "finch": Rate(12.0, 12.0)}
 
 
@@ -90,10 +92,13 @@
     :param hosts: number of hosts.
     :param has_forwarders: whether connections of the hosts pass through forwarders; link faults
         need them.
+    :param resting_customers: customers without callers. With many customers a host's share of the
+        connections is too small for them, so that pool hosts are in effect.
     """
 
     hosts: int
     has_forwarders: bool = True
+    resting_customers: int = 0
 
 
 class Cluster:
@@ -203,6 +208,8 @@
                 keys = (self.keys[name], old_key)
                 self.withdrawn_keys[name] = ""
             customers.append(CustomerRow(name, keys, rate.per_s, rate.burst))
+        for number in range(self.size.resting_customers):
+            customers.append(CustomerRow(f"rest-{number}", (f"rest-key-{number}",), 1.0, 1.0))
         connections = dict.fromkeys(self.services, LineService.max_connections)
         self._configuration = configuration_put(version, _ROUTE_ROWS, connections, customers)
         self._write_to_store(self._configuration)
--- a/libs/soak/src/pistachiowinch/soak/main.py
+++ b/libs/soak/src/pistachiowinch/soak/main.py
@@ -8,7 +8,7 @@
 
 import typer
 
-from pistachiowinch.soak.cluster import ClusterSize
+from pistachiowinch.soak.cluster import RESTING_CUSTOMERS, ClusterSize
 from pistachiowinch.soak.run import Report, SoakSettings, run_soak
 
 __all__ = ["app"]
@@ -32,6 +32,9 @@
     restores: Annotated[
         bool, typer.Option(help="Also bring the store back from copies some seconds old.")
     ] = False,
+    pool_hosts: Annotated[
+        bool, typer.Option(help="Add resting customers, so that pool hosts are in effect.")
+    ] = False,
     as_json: Annotated[bool, typer.Option("--json", help="Print JSON for scripts.")] = False,
 ) -> None:
     """Run hosts as processes on loopback under random faults and check the promises to callers.
@@ -43,7 +46,8 @@
     for number in range(seed, seed + seeds):
         run_folder = folder / f"seed-{number}"
         run_folder.mkdir(parents=True, exist_ok=True)
-        size = ClusterSize(hosts, hosts <= MAX_HOSTS_WITH_FORWARDERS)
+        resting = RESTING_CUSTOMERS if pool_hosts else 0
+        size = ClusterSize(hosts, hosts <= MAX_HOSTS_WITH_FORWARDERS, resting)
         settings = SoakSettings(
             number, minutes * _S_PER_MIN, size, run_folder, has_restorations=restores
         )
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -8,7 +8,7 @@
 import pytest
 
 from pistachiowinch.soak import callers, hosts, run
-from pistachiowinch.soak.cluster import ClusterSize
+from pistachiowinch.soak.cluster import RESTING_CUSTOMERS, ClusterSize
 from pistachiowinch.soak.faults import (
     LinkFault,
     ScheduledFault,
@@ -79,6 +79,14 @@
     assert report.served > 100 and report.faults > 3
 
 
+async def test_pool_hosts_break_no_promise(tmp_path):
+    """Guards against violations by statements that one host runs for others, under faults."""
+    size = ClusterSize(HOSTS, resting_customers=RESTING_CUSTOMERS)
+    report = await run_soak(SoakSettings(3, 15.0, size, tmp_path))
+    assert not report.findings
+    assert report.served > 100 and report.faults > 3
+
+
 async def test_a_restored_store_breaks_no_promise(tmp_path):
     """Guards against violations when the store comes back from copies, beside other faults."""
     settings = SoakSettings(1, 20.0, ClusterSize(HOSTS), tmp_path, has_restorations=True)
