Log the age of the configuration's evidence, and reads that are put off

Nobody could tell from the logs how long a host had served without any evidence that its configuration was the newest, nor which delay kept it from reading the store. Adds a gauge and a pair of lines for the age, and a line for each delayed read with its cause. No decision is changed.

--- a/libs/base/src/pistachiowinch/base/metrics.py
+++ b/libs/base/src/pistachiowinch/base/metrics.py
@@ -43,6 +43,9 @@
         )
         self.caller_memory = self._gauge("caller_memory_bytes", "Memory charged to callers")
         self.config_version = self._gauge("config_version", "Configuration version in force")
+        self.configuration_age = self._gauge(
+            "configuration_age_seconds", "Age of the evidence that the configuration is the newest"
+        )
         self.roster_epoch = self._gauge("roster_epoch", "Roster epoch in force")
         self.has_standing = self._gauge("has_standing", "1 while the host takes new work")
         self.sessions = self._gauge("sessions", "Open caller sessions")
--- a/libs/entry/src/pistachiowinch/entry/host.py
+++ b/libs/entry/src/pistachiowinch/entry/host.py
@@ -10,6 +10,7 @@
 from pistachiowinch.base.hashing import rendezvous_order
 from pistachiowinch.base.identity import HostIdentity
 from pistachiowinch.base.metrics import Metrics
+from pistachiowinch.entry.configuration_currency import ConfigurationCurrency
 from pistachiowinch.entry.configuration_lag import ConfigurationLag
 from pistachiowinch.entry.group_views import GroupViews
 from pistachiowinch.entry.links import EntryLinks, HostAddress
@@ -257,6 +258,11 @@
             self._batch_delay_s,
             delays_after_read=True,
         )
+        self._currency = ConfigurationCurrency(
+            lambda: self._operators_follower.as_of_s,
+            lambda: self._apply_within_s,
+            self._log.for_part("host"),
+        )
         self._registry = TargetRegistry(
             self._relay,
             self._documents,
@@ -643,6 +649,8 @@
             self._log_lease_change()
             self._update_outages()
             self._configuration_lag.update()
+            self._currency.update(self.view.configuration.version)
+            self._metrics.configuration_age.set(self._currency.age_s)
             await self._maintain_records()
             self._registry.drop_missing()
             self._update_evacuated()
--- a/libs/fleet/src/pistachiowinch/fleet/relaying.py
+++ b/libs/fleet/src/pistachiowinch/fleet/relaying.py
@@ -134,6 +134,7 @@
         self._relay_heard = asyncio.Event()
         self._first_relay_until_s: float | None = None
         self._next_direct_s: dict[str, float] = {}
+        self._deferred: dict[str, str] = {}
         self._waiters: dict[str, tuple[int, asyncio.Future[None]]] = {}
         self._polls: set[asyncio.Future[None]] = set()
 
@@ -224,10 +225,18 @@
             return reachable
         is_recent = now_s() - self._last_relay_s < DIRECT_READ_DELAY_S
         if is_recent or now_s() < self._next_direct_s.get(prefix, -math.inf):
+            self._log_deferred(prefix, "a voter was just heard" if is_recent else "retry delay")
             raise StoreUnavailable("no host that reaches the store was heard")
         self._next_direct_s[prefix] = now_s() + DIRECT_RETRY_DELAY_S * random.uniform(0.5, 1.5)
+        self._deferred.pop(prefix, None)
         return []
 
+    def _log_deferred(self, prefix: str, cause: str) -> None:
+        """Log once why the store is not read although no voter can be read from."""
+        if self._deferred.get(prefix) != cause:
+            self._deferred[prefix] = cause
+            self._log.write("direct_read_deferred", prefix=prefix, cause=cause)
+
     async def _poll(self, prefix: str, after_revision: int, wait_s: float) -> ChangeBatch:
         """Poll the store until it answers or :meth:`end_direct_polls` ends the poll."""
         ended = asyncio.get_running_loop().create_future()
