Count every answer of the store as an answer, also that the history is lost

Callers of a fleet whose store had returned were refused for four seconds more, and hosts that were in touch again had a version of 12 s before (CONFIG). The delay after a failed direct read was set before the read and taken back only after a batch of changes: lost history and the answers to other parts of the host left it in force, for 1.5 to 4.5 s, and each of three prefixes tried on its own.

DirectReads keeps one delay for all prefixes, ends it with any answer, and makes one read at a time until then. The delay is derived from the time in which a configuration must be in force. The bound of test_an_outage_of_the_store_causes_few_calls is now the figure of the old constant, with the same value.

--- a/libs/entry/src/pistachiowinch/entry/host.py
+++ b/libs/entry/src/pistachiowinch/entry/host.py
@@ -193,6 +193,7 @@
             lambda: self._is_configured and not self.primary_lease.has_majority,
             self._adopt_primaries,
             log,
+            self._relay.note_answered,
         )
         self.primary_lease = PrimaryLease(
             lambda: self._voter_set.recorded_voters,
--- a/libs/fleet/src/pistachiowinch/fleet/relaying.py
+++ b/libs/fleet/src/pistachiowinch/fleet/relaying.py
@@ -14,6 +14,8 @@
 
 from pistachiowinch.base.clock import now_s
 from pistachiowinch.base.decisions import DecisionLog
+from pistachiowinch.fleet.copy_bounds import CopyBounds
+from pistachiowinch.fleet.direct_reads import DirectReads
 from pistachiowinch.fleet.following import PrefixFollower
 from pistachiowinch.fleet.messages import ChangedKey, ChangesAnswer, ChangesRequest
 from pistachiowinch.links.peers import PeerLink, PeerUnreachable
@@ -49,8 +51,7 @@
 # Delay before a host without a reachable voter reads the store itself. Store outages usually affect
 # all hosts, so earlier attempts would only add calls.
 DIRECT_READ_DELAY_S = 4.0
-# Delay between failed direct reads after that, randomized by a factor of 0.5 to 1.5.
-DIRECT_RETRY_DELAY_S = 3.0
+DEFAULT_BOUNDS = CopyBounds()
 
 _ALL_KEYS = -1
 
@@ -114,6 +115,7 @@
     :param is_direct: returns whether this host always reads the store itself.
     :param voter_heartbeats: returns the newest heartbeats of the voters.
     :param log: receives this part's decisions.
+    :param bounds: limits the delay after a failed read of the store.
     """
 
     def __init__(
@@ -123,6 +125,7 @@
         is_direct: Callable[[], bool],
         voter_heartbeats: Callable[[], list[ReceivedHeartbeat]],
         log: DecisionLog,
+        bounds: CopyBounds = DEFAULT_BOUNDS,
     ) -> None:
         """Create a source that has not heard from a voter yet."""
         self._store = store
@@ -130,14 +133,18 @@
         self._is_direct = is_direct
         self._voter_heartbeats = voter_heartbeats
         self._log = log
+        self._direct_reads = DirectReads(bounds)
         self._last_relay_s = -math.inf
         self._relay_heard = asyncio.Event()
         self._first_relay_until_s: float | None = None
-        self._next_direct_s: dict[str, float] = {}
         self._deferred: dict[str, str] = {}
         self._waiters: dict[str, tuple[int, asyncio.Future[None]]] = {}
         self._polls: set[asyncio.Future[None]] = set()
 
+    def note_answered(self) -> None:
+        """Record that the store has answered a call of another part of this host."""
+        self._direct_reads.note_answered()
+
     def on_heartbeat(self, received: ReceivedHeartbeat) -> None:
         """Wake the waiters for changes that a received heartbeat announces."""
         if received.heartbeat.prefix_revisions and received.heartbeat.store_age_ms >= 0:
@@ -159,26 +166,32 @@
     async def read_prefix(self, prefix: str) -> Snapshot:
         """Read all keys under a prefix."""
         voters = self._reachable_voters(prefix)
-        if not voters:
-            snapshot = await self._store.read_prefix(prefix)
-            self._next_direct_s.pop(prefix, None)
-            return snapshot
+        if self._reads_directly(prefix, voters, _ALL_KEYS):
+            return await self._read_all(prefix)
+        return await self._relay_all(voters, prefix)
+
+    async def changes(self, prefix: str, after_revision: int, wait_s: float) -> ChangeBatch:
+        """Wait for changes under a prefix."""
+        await self._wait_for_first_relay()
+        voters = self._reachable_voters(prefix)
+        if self._reads_directly(prefix, voters, after_revision):
+            return await self._poll(prefix, after_revision, wait_s)
+        return await self._relay_changes(voters, prefix, after_revision, wait_s)
+
+    async def _relay_all(self, voters: list[ReceivedHeartbeat], prefix: str) -> Snapshot:
         answer, as_of_s = await self._request_changes(voters, prefix, _ALL_KEYS)
         if answer.is_withheld:
             try:
-                return await self._store.read_prefix(prefix)
+                return await self._read_all(prefix)
             except StoreError as error:
                 self._log_withheld(prefix, error)
             answer, as_of_s = await self._request_changes(voters, prefix, _ALL_KEYS, True)
         items = (KeyValue(key.key, key.value or b"", key.revision) for key in answer.keys)
         return Snapshot(tuple(items), answer.revision, as_of_s)
 
-    async def changes(self, prefix: str, after_revision: int, wait_s: float) -> ChangeBatch:
-        """Wait for changes under a prefix."""
-        await self._wait_for_first_relay()
-        voters = self._reachable_voters(prefix)
-        if not voters:
-            return await self._poll(prefix, after_revision, wait_s)
+    async def _relay_changes(
+        self, voters: list[ReceivedHeartbeat], prefix: str, after_revision: int, wait_s: float
+    ) -> ChangeBatch:
         newer = _with_newer_changes(voters, prefix, after_revision)
         if not newer:
             await self._wait_for_change(prefix, after_revision, min(wait_s, RELAY_WAIT_S))
@@ -189,7 +202,7 @@
         answer, as_of_s = await self._request_changes(newer, prefix, after_revision)
         if answer.is_withheld:
             try:
-                return await self._store.changes(prefix, after_revision, 0.0)
+                return await self._poll(prefix, after_revision, 0.0)
             except HistoryLost:
                 raise
             except StoreError as error:
@@ -209,27 +222,33 @@
                 await self._relay_heard.wait()
 
     def _reachable_voters(self, prefix: str) -> list[ReceivedHeartbeat]:
-        """Return the heartbeats of voters to read from; an empty list means to read the store.
-
-        :raises StoreUnavailable: if no voter is reachable and a direct read is not due yet.
-        """
+        """Return the heartbeats of the voters to read from, which reach the store."""
         if self._is_direct():
             return []
-        reachable = [
+        return [
             received
             for received in self._voter_heartbeats()
             if received.heartbeat.store_age_ms >= 0
             and prefix in received.heartbeat.prefix_revisions
         ]
-        if reachable:
-            return reachable
-        is_recent = now_s() - self._last_relay_s < DIRECT_READ_DELAY_S
-        if is_recent or now_s() < self._next_direct_s.get(prefix, -math.inf):
-            self._log_deferred(prefix, "a voter was just heard" if is_recent else "retry delay")
-            raise StoreUnavailable("no host that reaches the store was heard")
-        self._next_direct_s[prefix] = now_s() + DIRECT_RETRY_DELAY_S * random.uniform(0.5, 1.5)
-        self._deferred.pop(prefix, None)
-        return []
+
+    def _reads_directly(
+        self, prefix: str, voters: list[ReceivedHeartbeat], after_revision: int
+    ) -> bool:
+        """Return whether to read the store itself now, instead of from a voter.
+
+        :raises StoreUnavailable: if no voter is reachable and such a read is not due yet.
+        """
+        if self._is_direct():
+            return True
+        is_needed = not voters and now_s() - self._last_relay_s >= DIRECT_READ_DELAY_S
+        if is_needed and self._direct_reads.is_due:
+            self._deferred.pop(prefix, None)
+            return True
+        if voters:
+            return False
+        self._log_deferred(prefix, "retry delay" if is_needed else "a voter was just heard")
+        raise StoreUnavailable("no host that reaches the store was heard")
 
     def _log_deferred(self, prefix: str, cause: str) -> None:
         """Log once why the store is not read although no voter can be read from."""
@@ -237,17 +256,23 @@
             self._deferred[prefix] = cause
             self._log.write("direct_read_deferred", prefix=prefix, cause=cause)
 
+    async def _read_all(self, prefix: str) -> Snapshot:
+        sent_s = now_s()
+        snapshot = await self._direct_reads.run(lambda: self._store.read_prefix(prefix))
+        return snapshot._replace(as_of_s=sent_s)
+
     async def _poll(self, prefix: str, after_revision: int, wait_s: float) -> ChangeBatch:
         """Poll the store until it answers or :meth:`end_direct_polls` ends the poll."""
         ended = asyncio.get_running_loop().create_future()
-        poll = asyncio.ensure_future(self._store.changes(prefix, after_revision, wait_s))
-        self._polls.add(ended)
+        poll = asyncio.ensure_future(
+            self._direct_reads.run(lambda: self._store.changes(prefix, after_revision, wait_s))
+        )
+        if wait_s > 0.0:
+            self._polls.add(ended)
         try:
             await asyncio.wait((poll, ended), return_when=asyncio.FIRST_COMPLETED)
             if poll.done():
-                batch = poll.result()
-                self._next_direct_s.pop(prefix, None)
-                return batch
+                return poll.result()
             return ChangeBatch((), after_revision, -math.inf)
         finally:
             self._polls.discard(ended)
--- a/libs/fleet/src/pistachiowinch/fleet/store_contact.py
+++ b/libs/fleet/src/pistachiowinch/fleet/store_contact.py
@@ -23,6 +23,7 @@
     :param is_needed: returns whether this host hears from no majority of the voters.
     :param adopt: called with the records that were read.
     :param log: receives this part's decisions.
+    :param on_answer: called when the store has answered a read.
     """
 
     def __init__(
@@ -32,6 +33,7 @@
         is_needed: Callable[[], bool],
         adopt: Callable[[Iterable[KeyValue]], None],
         log: DecisionLog,
+        on_answer: Callable[[], None] = lambda: None,
     ) -> None:
         """Create a tracker without contacts; :meth:`run` starts the reads."""
         self._store = store
@@ -39,6 +41,7 @@
         self._is_needed = is_needed
         self._adopt = adopt
         self._log = log
+        self._on_answer = on_answer
         self._read_s = -math.inf
 
     @property
@@ -60,5 +63,6 @@
             except StoreError as error:
                 self._log.write("proof_missing", cause=str(error)[:60])
                 continue
+            self._on_answer()
             self._adopt(snapshot.items)
             self._read_s = sent_s
--- a/tests/fleet/test_relaying.py
+++ b/tests/fleet/test_relaying.py
@@ -11,7 +11,6 @@
 from pistachiowinch.fleet.following import MAX_KEPT_CHANGES, POLL_WAIT_S, PrefixFollower
 from pistachiowinch.fleet.relaying import (
     DIRECT_READ_DELAY_S,
-    DIRECT_RETRY_DELAY_S,
     FIRST_RELAY_WAIT_S,
     RELAY_WAIT_S,
     ChangeServer,
@@ -26,6 +25,8 @@
 
 PREFIX = "op/"
 HEARTBEAT_INTERVAL_S = 0.2
+# Mean delay between direct reads that fail.
+DIRECT_RETRY_DELAY_S = 3.0
 
 
 class Pair:
