Read the store when the evidence for a copy is too old, whoever is heard

The store was silent for its voters: their polls hid that for 5 s, a reader's wait for 1 s more, the delay before a direct read for 4 s from the last heartbeat. A voter was believed by its heartbeat, whatever age that stated, and a host that heard voters but could not ask them never read the store.

The age of the evidence now decides, dated with the time at which it was asked of the store. A poll ends when the copy is 0.4 of the time to apply old, also after a change; at 0.6 the store itself is read; a request to a voter ends by then. A poll that ends early dates nothing in the future.

--- a/libs/entry/src/pistachiowinch/entry/bounds.py
+++ b/libs/entry/src/pistachiowinch/entry/bounds.py
@@ -19,6 +19,6 @@
 
 
 # A healthy store answers in 4 ms, a slow one in up to 0.25 s; a call may need several answers.
-STORE_BOUNDS = CallBounds(timeout_s=1.0, connect_timeout_s=0.5, poll_slack_s=1.0)
+STORE_BOUNDS = CallBounds(timeout_s=1.0, connect_timeout_s=0.5, poll_slack_s=0.5)
 # A promotion order must arrive or fail well before the lease of the promotion lock expires.
 ORDER_BOUNDS = CallBounds(timeout_s=1.0, connect_timeout_s=1.0, poll_slack_s=0.0)
--- a/libs/entry/src/pistachiowinch/entry/host.py
+++ b/libs/entry/src/pistachiowinch/entry/host.py
@@ -17,6 +17,7 @@
 from pistachiowinch.entry.registry import REREGISTRATION_WAIT_S, TargetRegistry
 from pistachiowinch.entry.shares import Shares
 from pistachiowinch.entry.usage import HostUsage
+from pistachiowinch.fleet.copy_bounds import DEFAULT_APPLY_TIMEOUT_S, CopyBounds
 from pistachiowinch.fleet.first_listing import FirstListingSource
 from pistachiowinch.fleet.following import PrefixFollower
 from pistachiowinch.fleet.messages import DrainAnswer, DrainRequest, PrimaryNotice
@@ -82,10 +83,10 @@
 MAX_VOTER_SILENCE_S = 1.0
 # Delay between polls of the operators' keys and of the targets until there is a configuration.
 UNCONFIGURED_BATCH_DELAY_S = 1.0
-# Time in which a configuration must be in force if the settings state none.
-DEFAULT_APPLY_TIMEOUT_S = 5.0
-# Part of that time after which a host that lacks a version refuses operations. It hears of the
-# version up to two heartbeats late.
+# Wait of polls for keys that need not be in force within a given time.
+UNBOUNDED_POLL_WAIT_S = 4.0
+# Part of the time in which a configuration must be in force after which a host that lacks a version
+# refuses operations. It hears of the version up to two heartbeats late.
 APPLY_MARGIN_S = 1.0
 # Size of the random number that distinguishes incarnations of a host.
 INCARNATION_BITS = 47
@@ -122,6 +123,7 @@
         self._documents = links.documents
         self._started_s = started_s
         self._apply_within_s = apply_within_s or DEFAULT_APPLY_TIMEOUT_S
+        self._copy_bounds = CopyBounds(self._apply_within_s)
         self._rate_tolerance = rate_tolerance
         self._zone_cost = zone_cost
         self._had_lease = False
@@ -151,7 +153,12 @@
         self._hosts = FleetMembers(identity, self._store, log)
         self._voter_set = VoterSet(identity.host, self._hosts, log)
         self._relay = RelayedStore(
-            self._store, self._peer_link, self._reads_store, self._voter_heartbeats, log
+            self._store,
+            self._peer_link,
+            self._reads_store,
+            self._voter_heartbeats,
+            log,
+            self._copy_bounds,
         )
         record = HostRecord(
             identity.host,
@@ -168,6 +175,7 @@
             self._on_fleet,
             log,
             self._registration_batch_delay_s,
+            poll_wait_s=self._poll_wait_s,
         )
         self._registration = HostRegistration(
             self._store,
@@ -258,6 +266,7 @@
             log,
             self._batch_delay_s,
             delays_after_read=True,
+            poll_wait_s=lambda: self._copy_bounds.poll_wait_s,
         )
         self._currency = ConfigurationCurrency(
             lambda: self._operators_follower.as_of_s,
@@ -273,6 +282,7 @@
             self._primaries,
             log,
             self._batch_delay_s,
+            self._poll_wait_s,
         )
         self._changes = ChangeServer(
             {
@@ -458,6 +468,12 @@
         """Whether this host polls the store itself instead of through a voter."""
         return not self._voter_set.is_partial or self._voter_set.is_voter
 
+    def _poll_wait_s(self) -> float:
+        """Wait of polls of keys with no limit of their own; a voter states one age for all."""
+        return (
+            self._copy_bounds.poll_wait_s if self._voter_set.is_partial else UNBOUNDED_POLL_WAIT_S
+        )
+
     def _voter_heartbeats(self) -> list[ReceivedHeartbeat]:
         oldest_s = now_s() - MAX_VOTER_SILENCE_S
         last = (self._membership.last_heartbeat(host) for host in self._voter_set.voters)
--- a/libs/entry/src/pistachiowinch/entry/registry.py
+++ b/libs/entry/src/pistachiowinch/entry/registry.py
@@ -33,6 +33,7 @@
     :param primaries: uses the registry's primary until the first switch.
     :param log: decision log of this component.
     :param batch_delay_s: returns the delay after a change in which further changes are batched.
+    :param poll_wait_s: returns the age at which a poll without changes renews the copy's date.
     """
 
     def __init__(
@@ -45,6 +46,7 @@
         primaries: PrimaryTable,
         log: DecisionLog,
         batch_delay_s: Callable[[], float],
+        poll_wait_s: Callable[[], float],
     ) -> None:
         """Create a registry that is not loaded yet."""
         self._documents = documents
@@ -56,7 +58,13 @@
         self._differs_from_store = False
         self._removed: dict[str, tuple[Target, float]] = {}
         self.follower = PrefixFollower(
-            store, documents.targets_prefix, self._on_change, log, batch_delay_s, True
+            store,
+            documents.targets_prefix,
+            self._on_change,
+            log,
+            batch_delay_s,
+            True,
+            poll_wait_s,
         )
 
     def drop_missing(self) -> None:
--- a/libs/fleet/src/pistachiowinch/fleet/following.py
+++ b/libs/fleet/src/pistachiowinch/fleet/following.py
@@ -7,7 +7,9 @@
 
 from pistachiowinch.base.clock import now_s, sleep_s
 from pistachiowinch.base.decisions import DecisionLog
+from pistachiowinch.fleet.copy_bounds import CopyBounds
 from pistachiowinch.links.store import (
+    ChangeBatch,
     HistoryLost,
     KeyValue,
     PrefixSource,
@@ -16,19 +18,31 @@
     era_of,
 )
 
-__all__ = ["PrefixFollower"]
+__all__ = ["PrefixFollower", "complete_as_of_s"]
 
 # Changes kept for hosts that follow this one; a host that is further behind reads all keys.
 MAX_KEPT_CHANGES = 256
 
-# Bounds how long a poll on a silent connection hides changes: a change must be in force within 3 s
-# once the faults have ended for 4 s.
-POLL_WAIT_S = 4.0
+# Default age at which a poll without changes renews the date of a copy.
+POLL_WAIT_S = CopyBounds().poll_wait_s
+# Bounds the rate of polls that find no change and do not renew the date of a copy.
+MIN_POLL_WAIT_S = 0.05
 # Exponential backoff, bounded so that a recovered store is detected within half a second.
 MIN_RETRY_DELAY_S = 0.05
 MAX_RETRY_DELAY_S = 0.4
 
 
+def complete_as_of_s(batch: ChangeBatch, sent_s: float, wait_s: float) -> float:
+    """Return the loop time as of which the changes that the store has sent are complete.
+
+    :param sent_s: loop time at which the poll was sent.
+    :param wait_s: time for which the poll was to wait; an answer without changes that comes sooner
+        shows nothing of the rest.
+    """
+    has_waited = now_s() >= sent_s + wait_s
+    return sent_s + wait_s if has_waited and not batch.events else sent_s
+
+
 class PrefixFollower:
     """Reads a prefix and then its changes; reads all keys again when the history is lost.
 
@@ -39,6 +53,9 @@
     :param batch_delay_s: returns the delay before the next poll after a change, which lets one
         answer carry several changes.
     :param delays_after_read: whether that delay also follows a read of all keys.
+    :param poll_wait_s: returns the age at which a poll without changes renews the copy's date. It
+        bounds how long a poll on a silent connection hides changes.
+    :ivar as_of_s: loop time as of which the copy is complete.
     :ivar reconnected_s: loop time at which the store was last heard again after an outage.
     :ivar era: the store's era in which the copy was read.
     :ivar era_since_s: loop time at which the copy of an earlier era was replaced; negative infinity
@@ -53,8 +70,10 @@
         log: DecisionLog,
         batch_delay_s: Callable[[], float] = lambda: 0.0,
         delays_after_read: bool = False,
+        poll_wait_s: Callable[[], float] = lambda: POLL_WAIT_S,
     ) -> None:
         """Create an empty copy; :meth:`run` fills it."""
+        self._poll_wait_s = poll_wait_s
         self._delays_after_read = delays_after_read
         self._source = source
         self._batch_delay_s = batch_delay_s
@@ -155,8 +174,7 @@
             if self._delays_after_read:
                 await sleep_s(self._batch_delay_s())
             return
-        # The first poll after an outage does not wait, so that it soon confirms the contact.
-        wait_s = 0.0 if self.is_broken else POLL_WAIT_S
+        wait_s = self._next_wait_s()
         batch = await self._source.changes(self._prefix, self._revision, wait_s)
         if batch.is_whole:
             items = (KeyValue(e.key, e.value or b"", e.mod_revision) for e in batch.events)
@@ -164,13 +182,22 @@
         else:
             self._apply(batch.events)
             self._revision = batch.revision
-        if batch.as_of_s is not None:
-            self._advance_as_of(batch.as_of_s)
-        else:
-            self._advance_as_of(sent_s if batch.events else sent_s + wait_s)
+        as_of_s = batch.as_of_s
+        self._advance_as_of(complete_as_of_s(batch, sent_s, wait_s) if as_of_s is None else as_of_s)
         if batch.events:
             await sleep_s(self._batch_delay_s())
 
+    def _next_wait_s(self) -> float:
+        """Return how long the next poll waits.
+
+        The first poll after an outage does not wait, so that it soon confirms the contact. One that
+        follows a change waits only until the copy has the age at which any poll ends.
+        """
+        if self.is_broken:
+            return 0.0
+        poll_wait_s = self._poll_wait_s()
+        return min(max(self.as_of_s + poll_wait_s - now_s(), MIN_POLL_WAIT_S), poll_wait_s)
+
     async def _read_all(self) -> float | None:
         snapshot = await self._source.read_prefix(self._prefix)
         self._replace(snapshot.items, snapshot.revision)
--- a/libs/fleet/src/pistachiowinch/fleet/relaying.py
+++ b/libs/fleet/src/pistachiowinch/fleet/relaying.py
@@ -2,8 +2,9 @@
 
 Each call to the store costs money, so in a large fleet only the voters follow it. Their heartbeats
 state the revision of their copy of each prefix, and the other hosts request the changes that they
-lack. A host reads the store itself only while it hears from no voter that reaches the store, and if
-the changed keys are too large for the links of a few voters.
+lack. A host reads the store itself only when the voters' evidence for its copy is too old, and if
+the changed keys are too large for the links of a few voters. The evidence is dated with the time at
+which a voter asked the store: a heartbeat alone, or one without news, shows nothing.
 """
 
 import asyncio
@@ -16,7 +17,7 @@
 from pistachiowinch.base.decisions import DecisionLog
 from pistachiowinch.fleet.copy_bounds import CopyBounds
 from pistachiowinch.fleet.direct_reads import DirectReads
-from pistachiowinch.fleet.following import PrefixFollower
+from pistachiowinch.fleet.following import PrefixFollower, complete_as_of_s
 from pistachiowinch.fleet.messages import ChangedKey, ChangesAnswer, ChangesRequest
 from pistachiowinch.links.peers import PeerLink, PeerUnreachable
 from pistachiowinch.links.store import (
@@ -48,9 +49,8 @@
 # Time for which a host that starts waits for the first heartbeat of a voter before it polls the
 # store. After a common power loss voters return at the same moment, and send in each 0.2 s.
 FIRST_RELAY_WAIT_S = 0.6
-# Delay before a host without a reachable voter reads the store itself. Store outages usually affect
-# all hosts, so earlier attempts would only add calls.
-DIRECT_READ_DELAY_S = 4.0
+# Lower bound of the time for a request that ends when the store itself has to be read.
+MIN_RELAY_TIMEOUT_S = 0.1
 DEFAULT_BOUNDS = CopyBounds()
 
 _ALL_KEYS = -1
@@ -115,7 +115,7 @@
     :param is_direct: returns whether this host always reads the store itself.
     :param voter_heartbeats: returns the newest heartbeats of the voters.
     :param log: receives this part's decisions.
-    :param bounds: limits the delay after a failed read of the store.
+    :param bounds: ages of a copy at which the store itself is read.
     """
 
     def __init__(
@@ -133,7 +133,9 @@
         self._is_direct = is_direct
         self._voter_heartbeats = voter_heartbeats
         self._log = log
+        self._direct_read_age_s = bounds.direct_read_age_s
         self._direct_reads = DirectReads(bounds)
+        self._as_of_s: dict[str, float] = {}
         self._last_relay_s = -math.inf
         self._relay_heard = asyncio.Event()
         self._first_relay_until_s: float | None = None
@@ -167,16 +169,23 @@
         """Read all keys under a prefix."""
         voters = self._reachable_voters(prefix)
         if self._reads_directly(prefix, voters, _ALL_KEYS):
-            return await self._read_all(prefix)
-        return await self._relay_all(voters, prefix)
+            snapshot = await self._read_all(prefix)
+        else:
+            snapshot = await self._relay_all(voters, prefix)
+        self._note_as_of(prefix, snapshot.as_of_s)
+        return snapshot
 
     async def changes(self, prefix: str, after_revision: int, wait_s: float) -> ChangeBatch:
         """Wait for changes under a prefix."""
         await self._wait_for_first_relay()
         voters = self._reachable_voters(prefix)
         if self._reads_directly(prefix, voters, after_revision):
-            return await self._poll(prefix, after_revision, wait_s)
-        return await self._relay_changes(voters, prefix, after_revision, wait_s)
+            # Voters that are heard may announce the next change, so the read need not wait for it.
+            batch = await self._poll(prefix, after_revision, 0.0 if voters else wait_s)
+        else:
+            batch = await self._relay_changes(voters, prefix, after_revision, wait_s)
+        self._note_as_of(prefix, batch.as_of_s)
+        return batch
 
     async def _relay_all(self, voters: list[ReceivedHeartbeat], prefix: str) -> Snapshot:
         answer, as_of_s = await self._request_changes(voters, prefix, _ALL_KEYS)
@@ -194,7 +203,10 @@
     ) -> ChangeBatch:
         newer = _with_newer_changes(voters, prefix, after_revision)
         if not newer:
-            await self._wait_for_change(prefix, after_revision, min(wait_s, RELAY_WAIT_S))
+            until_direct_s = self._until_direct_s(prefix, voters, after_revision)
+            # Without a wait the caller only asks whether the voters are reachable.
+            relay_wait_s = min(RELAY_WAIT_S, until_direct_s) if wait_s > 0.0 else 0.0
+            await self._wait_for_change(prefix, after_revision, relay_wait_s)
             voters = self._reachable_voters(prefix)
             newer = _with_newer_changes(voters, prefix, after_revision)
         if not newer:
@@ -241,7 +253,10 @@
         """
         if self._is_direct():
             return True
-        is_needed = not voters and now_s() - self._last_relay_s >= DIRECT_READ_DELAY_S
+        is_silent = not voters and now_s() - self._last_relay_s >= self._direct_read_age_s
+        is_needed = is_silent or self._age_s(prefix, voters, after_revision) >= (
+            self._direct_read_age_s
+        )
         if is_needed and self._direct_reads.is_due:
             self._deferred.pop(prefix, None)
             return True
@@ -250,6 +265,22 @@
         self._log_deferred(prefix, "retry delay" if is_needed else "a voter was just heard")
         raise StoreUnavailable("no host that reaches the store was heard")
 
+    def _age_s(self, prefix: str, voters: list[ReceivedHeartbeat], after_revision: int) -> float:
+        """Return the age of the best evidence that this host's copy is complete."""
+        read_s = self._as_of_s.get(prefix, -math.inf)
+        return now_s() - max(read_s, _as_of_s(voters, prefix, after_revision))
+
+    def _until_direct_s(
+        self, prefix: str, voters: list[ReceivedHeartbeat], after_revision: int
+    ) -> float:
+        """Return the time until the store itself is read unless the voters' evidence improves."""
+        until_old_s = self._direct_read_age_s - self._age_s(prefix, voters, after_revision)
+        return max(until_old_s, self._direct_reads.next_s - now_s(), MIN_RELAY_TIMEOUT_S)
+
+    def _note_as_of(self, prefix: str, as_of_s: float | None) -> None:
+        if as_of_s is not None:
+            self._as_of_s[prefix] = max(self._as_of_s.get(prefix, -math.inf), as_of_s)
+
     def _log_deferred(self, prefix: str, cause: str) -> None:
         """Log once why the store is not read although no voter can be read from."""
         if self._deferred.get(prefix) != cause:
@@ -263,6 +294,7 @@
 
     async def _poll(self, prefix: str, after_revision: int, wait_s: float) -> ChangeBatch:
         """Poll the store until it answers or :meth:`end_direct_polls` ends the poll."""
+        sent_s = now_s()
         ended = asyncio.get_running_loop().create_future()
         poll = asyncio.ensure_future(
             self._direct_reads.run(lambda: self._store.changes(prefix, after_revision, wait_s))
@@ -272,7 +304,8 @@
         try:
             await asyncio.wait((poll, ended), return_when=asyncio.FIRST_COMPLETED)
             if poll.done():
-                return poll.result()
+                batch = poll.result()
+                return batch._replace(as_of_s=complete_as_of_s(batch, sent_s, wait_s))
             return ChangeBatch((), after_revision, -math.inf)
         finally:
             self._polls.discard(ended)
@@ -308,7 +341,10 @@
         host = random.choice(voters).heartbeat.host
         sent_s = now_s()
         request = ChangesRequest(prefix, after_revision, is_last_resort)
-        timeout_s = LAST_RESORT_TIMEOUT_S if is_last_resort else RELAY_TIMEOUT_S
+        if is_last_resort:
+            timeout_s = LAST_RESORT_TIMEOUT_S
+        else:
+            timeout_s = min(RELAY_TIMEOUT_S, self._until_direct_s(prefix, voters, after_revision))
         try:
             answer = await self._link.request(host, request, timeout_s)
         except PeerUnreachable as error:
--- a/tests/fleet/silent_store.py
+++ b/tests/fleet/silent_store.py
@@ -6,8 +6,9 @@
 
 from pistachiowinch.base.clock import now_s
 from pistachiowinch.base.decisions import DecisionLog
+from pistachiowinch.fleet.copy_bounds import CopyBounds
 from pistachiowinch.fleet.following import PrefixFollower
-from pistachiowinch.fleet.relaying import ChangeServer, RelayedStore
+from pistachiowinch.fleet.relaying import DEFAULT_BOUNDS, ChangeServer, RelayedStore
 from pistachiowinch.links.store import ChangeBatch, Snapshot, StoreReplyLost
 from pistachiowinch.peering.messages import Heartbeat, ReceivedHeartbeat
 from pistachiowinch.standins.memory_store import MemoryStore
@@ -17,7 +18,7 @@
 CONFIGURATION_KEY = "op/config"
 # Time-out of a call, as in the program's own client of the store.
 CALL_TIMEOUT_S = 1.0
-POLL_SLACK_S = 1.0
+POLL_SLACK_S = 0.5
 VOTERS = 3
 READER = "reader"
 HEARTBEAT_INTERVAL_S = 0.4
@@ -88,10 +89,21 @@
         link = fleet.network.link(name)
         self.heartbeats: dict[str, ReceivedHeartbeat] = {}
         self.relay = RelayedStore(
-            self.store, link, lambda: votes, self._voter_heartbeats, DecisionLog("test")
+            self.store,
+            link,
+            lambda: votes,
+            self._voter_heartbeats,
+            DecisionLog("test"),
+            fleet.bounds,
         )
         self.followers = {
-            prefix: PrefixFollower(self.relay, prefix, lambda *_: None, DecisionLog("test"))
+            prefix: PrefixFollower(
+                self.relay,
+                prefix,
+                lambda *_: None,
+                DecisionLog("test"),
+                poll_wait_s=lambda: fleet.bounds.poll_wait_s,
+            )
             for prefix in PREFIXES
         }
         self.server = ChangeServer(self.followers if votes else {}, link)
@@ -111,10 +123,12 @@
     """Voters that follow the store, and a host that reads through them.
 
     :param votes: whether the host that is tested votes itself, as in a small fleet.
+    :param bounds: times of the site.
     """
 
-    def __init__(self, votes: bool = False) -> None:
+    def __init__(self, votes: bool = False, bounds: CopyBounds = DEFAULT_BOUNDS) -> None:
         """Start all hosts."""
+        self.bounds = bounds
         self.store = MemoryStore()
         self.network = PeerNetwork(1)
         self.version = 0
--- a/tests/fleet/test_following.py
+++ b/tests/fleet/test_following.py
@@ -8,6 +8,7 @@
 from pistachiowinch.base.clock import now_s
 from pistachiowinch.base.decisions import DecisionLog
 from pistachiowinch.fleet.following import POLL_WAIT_S, PrefixFollower
+from pistachiowinch.links.store import ChangeBatch, Snapshot
 from pistachiowinch.standins.memory_store import MemoryStore
 
 pytestmark = pytest.mark.looptime
@@ -98,3 +99,38 @@
         await asyncio.sleep(0.01)
     assert started_reads == 1
     assert world.store.calls["read_prefix"] < 10
+
+
+class HastySource:
+    """A source that answers polls without changes before their time."""
+
+    async def read_prefix(self, prefix):
+        """Return no keys."""
+        return Snapshot((), 1)
+
+    async def changes(self, prefix, after_revision, wait_s):
+        """Return no changes after half of the wait."""
+        await asyncio.sleep(wait_s / 2.0)
+        return ChangeBatch((), after_revision)
+
+
+async def test_a_poll_that_ends_early_dates_no_copy_in_the_future():
+    """CONFIG: a copy counted as complete for the rest of a wait in which nobody told of changes."""
+    follower = PrefixFollower(HastySource(), "a/", lambda *_: None, DecisionLog("test"))
+    task = asyncio.ensure_future(follower.run())
+    for _ in range(50):
+        await asyncio.sleep(0.1)
+        assert follower.as_of_s <= now_s()
+    task.cancel()
+
+
+async def test_a_copy_is_never_older_than_a_wait_while_nothing_fails():
+    """CONFIG: after a change, evidence of up to twice the wait let whole fleets read the store."""
+    world = World()
+    await asyncio.sleep(0.1)
+    for number in range(20):
+        put(world.store, "a/1", str(number).encode())
+        for _ in range(17):
+            await asyncio.sleep(0.1)
+            assert now_s() - world.follower.as_of_s <= POLL_WAIT_S + 0.01
+    world.task.cancel()
--- a/tests/fleet/test_relaying.py
+++ b/tests/fleet/test_relaying.py
@@ -8,9 +8,9 @@
 
 from pistachiowinch.base.clock import now_s
 from pistachiowinch.base.decisions import DecisionLog
+from pistachiowinch.fleet.copy_bounds import CopyBounds
 from pistachiowinch.fleet.following import MAX_KEPT_CHANGES, POLL_WAIT_S, PrefixFollower
 from pistachiowinch.fleet.relaying import (
-    DIRECT_READ_DELAY_S,
     FIRST_RELAY_WAIT_S,
     RELAY_WAIT_S,
     ChangeServer,
@@ -25,8 +25,11 @@
 
 PREFIX = "op/"
 HEARTBEAT_INTERVAL_S = 0.2
+# Age of the voters' evidence after which a host reads the store itself.
+DIRECT_READ_DELAY_S = CopyBounds().direct_read_age_s
 # Mean delay between direct reads that fail.
 DIRECT_RETRY_DELAY_S = 3.0
+OUTAGE_S = 15.0
 
 
 class Pair:
@@ -161,10 +164,10 @@
     pair = await settled_pair()
     pair.stores["voter"].faults.is_down = True
     pair.stores["host"].faults.is_down = True
-    await asyncio.sleep(DIRECT_READ_DELAY_S + 1.0)
+    await asyncio.sleep(DIRECT_READ_DELAY_S)
     assert pair.follower.is_broken
     assert pair.direct_calls <= 1
-    await asyncio.sleep(10.0)
+    await asyncio.sleep(OUTAGE_S - DIRECT_READ_DELAY_S)
     assert pair.direct_calls <= 1 + 10.0 / (0.5 * DIRECT_RETRY_DELAY_S)
     pair.stores["voter"].faults.is_down = False
     await asyncio.sleep(1.5)
@@ -191,9 +194,11 @@
     """At the start of menghina-pool-grown, each registration of a target answered 59 polls."""
     pair = Pair()
     pair.is_direct = True
-    await asyncio.sleep(2.0 * POLL_WAIT_S)
+    await asyncio.sleep(1.5 * POLL_WAIT_S)
     pair.is_direct = False
     pair.relay.end_direct_polls()
+    # A change in the same step of the loop could still be the answer to the poll.
+    await asyncio.sleep(0.01)
     pair.stores["host"].calls.clear()
     put(pair.stores["host"], "op/other", b"x")
     pair.put("op/config", b"1")
--- a/tests/fleet/test_silent_store.py
+++ b/tests/fleet/test_silent_store.py
@@ -5,6 +5,9 @@
 import pytest
 from fleet.silent_store import READER, SilentFleet
 
+from pistachiowinch.base.clock import now_s
+from pistachiowinch.fleet.copy_bounds import CopyBounds
+
 pytestmark = pytest.mark.looptime
 
 # gmsau-jingle-grown: time in which a confirmed configuration is in force.
@@ -13,13 +16,15 @@
 SMALL_APPLY_WITHIN_S = 3.0
 SMALL_CONTACT_S = 4.0
 CHANGES = 12
+# Time from the age at which the store is read to the answer: the shortest request, and a retry.
+MAX_READ_DELAY_S = 0.6
 # Moments of one poll by the voters, in which their store may fall silent.
 PHASES_S = (0.1, 1.3, 2.6, 3.9)
 
 
-async def started(votes: bool = False) -> SilentFleet:
+async def started(votes: bool = False, apply_within_s: float = APPLY_WITHIN_S) -> SilentFleet:
     """Return a fleet with a configuration."""
-    fleet = SilentFleet(votes)
+    fleet = SilentFleet(votes, CopyBounds(apply_within_s))
     await asyncio.sleep(1.0)
     fleet.configure()
     await asyncio.sleep(1.0)
@@ -72,6 +77,20 @@
     fleet.close()
 
 
+async def test_an_unanswered_request_does_not_delay_the_read_of_the_store():
+    """CONFIG: a request that voters leave unanswered took the time that the read would need."""
+    fleet = await started()
+    for voter in fleet.voters:
+        fleet.network.cut(READER, voter.name, is_one_way=True)
+    follower = fleet.reader.followers["op/"]
+    for step in range(300):
+        if step % 5 == 0:
+            fleet.configure()
+        await asyncio.sleep(0.1)
+        assert now_s() - follower.as_of_s < fleet.bounds.direct_read_age_s + MAX_READ_DELAY_S
+    fleet.close()
+
+
 @pytest.mark.parametrize("phase_s", PHASES_S)
 async def test_a_host_has_the_newest_version_soon_after_the_store_returns(phase_s):
     """CONFIG: hosts were in touch 5 s after the return of the store, with a version of 12 s ago."""
@@ -108,7 +127,7 @@
     """CONFIG on small fleets: a poll that lost its answer hid changes for 5 s, where a version must
     be in force after 3 s, from 4 s after the fault on.
     """
-    fleet = await started(votes=True)
+    fleet = await started(True, SMALL_APPLY_WITHIN_S)
     for phase_s in (0.02, 0.5, 1.0):
         await asyncio.sleep(SMALL_CONTACT_S + phase_s)
         fleet.configure()
