Serve with a configuration only while there is evidence that it is the newest

A host that heard of no newer version served on with its own, however old (CONFIG): only a host that had heard of one refused, 4 s later, and hosts of small fleets never did. Hearing nothing is no evidence: those that a host hears may not have heard either, and a poll on a silent connection ends after seconds.

A host now serves while it has recent evidence, dated with the time at which it was asked of the store, that its configuration is the newest, or that a call of its own was not answered. In the second case it is not in touch with the platform, and with the store away for all nothing can be confirmed. The limit is the operators' time to apply less 0.2 s, on fleets of any size.

--- a/libs/entry/src/pistachiowinch/entry/host.py
+++ b/libs/entry/src/pistachiowinch/entry/host.py
@@ -270,7 +270,8 @@
         )
         self._currency = ConfigurationCurrency(
             lambda: self._operators_follower.as_of_s,
-            lambda: self._apply_within_s,
+            lambda: self._relay.unanswered_s,
+            self._copy_bounds.age_limit_s,
             self._log.for_part("host"),
         )
         self._registry = TargetRegistry(
@@ -481,11 +482,11 @@
 
     @property
     def is_outdated(self) -> bool:
-        """Whether this host has failed for too long to fetch a configuration that peers have.
+        """Whether this host's configuration may lack a change that has to be in force.
 
         A key that the newer version withdraws must not be accepted any longer.
         """
-        return self._configuration_lag.is_overdue
+        return self._configuration_lag.is_overdue or not self._currency.may_serve
 
     def _configuration_limit_s(self) -> float:
         is_partial = self._voter_set.is_partial
--- a/libs/fleet/src/pistachiowinch/fleet/relaying.py
+++ b/libs/fleet/src/pistachiowinch/fleet/relaying.py
@@ -143,6 +143,11 @@
         self._waiters: dict[str, tuple[int, asyncio.Future[None]]] = {}
         self._polls: set[asyncio.Future[None]] = set()
 
+    @property
+    def unanswered_s(self) -> float:
+        """Loop time at which this host's newest call that the store did not answer was sent."""
+        return self._direct_reads.unanswered_s
+
     def note_answered(self) -> None:
         """Record that the store has answered a call of another part of this host."""
         self._direct_reads.note_answered()
