Check with the model that a host in touch serves with no older version

One voter and one host read a store that may fall silent for either; heartbeats and answers are delayed. The invariant is the operators' rule. Without any one of six guards the checker finds a violation: the limit, dates by the time of sending, the age in heartbeats, echoes, equal revisions, dated failures.

--- a/tests/model/test_checker.py
+++ b/tests/model/test_checker.py
@@ -9,6 +9,7 @@
 import pytest
 
 from pistachiowinch.model.checker import Specification, check
+from pistachiowinch.model.currency import CurrencyGuard, CurrencySpecification
 from pistachiowinch.model.escrow import EscrowGuard, EscrowSpecification
 from pistachiowinch.model.ledger import LedgerGuard, LedgerSpecification
 from pistachiowinch.model.membership import MembershipGuard, MembershipSpecification
@@ -33,6 +34,7 @@
     _Case(MembershipSpecification(), 17),
     _Case(RestorationSpecification(), 16),
     _Case(UsageReportSpecification(), 17),
+    _Case(CurrencySpecification(), 15),
 ]
 
 # Depths within which a violation exists; the number of terms is reduced where two suffice.
@@ -58,6 +60,7 @@
     *(_Case(MembershipSpecification(guard), 17) for guard in MembershipGuard),
     *(_Case(RestorationSpecification(guard), 14) for guard in RestorationGuard),
     *(_Case(UsageReportSpecification(guard), 16) for guard in UsageReportGuard),
+    *(_Case(CurrencySpecification(guard), 14) for guard in CurrencyGuard),
 ]
 
 
