Guard that a host refuses without evidence and serves on without the store

Two tests with whole hosts over real links: one whose evidence is not renewed is outdated within the time to apply and all others stay ready; in an outage of the store of twice that time no host is outdated. Without the decision's use in the host the first fails, without the failed reads the second (mutants on a scratch copy).

--- a/tests/entry/test_large_fleet.py
+++ b/tests/entry/test_large_fleet.py
@@ -160,6 +160,24 @@
     assert all(other.is_ready for other in fleet.hosts.values() if other is not host)
 
 
+async def test_a_host_without_evidence_for_its_configuration_stops_serving(fleet):
+    """CONFIG: a host that heard of no newer version served on with its own."""
+    host = fleet.others[0]
+    host._operators_follower._advance_as_of = lambda as_of_s: None
+    await until(lambda: host.is_outdated and not host.is_ready, APPLY_WITHIN_S)
+    assert all(other.is_ready for other in fleet.hosts.values() if other is not host)
+
+
+async def test_an_outage_of_the_store_lets_every_host_serve_on(fleet):
+    """Worst seconds: nothing can be confirmed meanwhile, so no configuration becomes outdated."""
+    fleet.store.faults.is_down = True
+    end_s = now_s() + 2.0 * APPLY_WITHIN_S
+    while now_s() < end_s:
+        outdated = [name for name, host in fleet.hosts.items() if host.is_outdated]
+        assert not outdated
+        await asyncio.sleep(POLL_INTERVAL_S)
+
+
 async def test_all_hosts_that_return_at_once_have_their_lease_after_a_few_store_calls(fleet):
     """Worst seconds: after a loss of all, leases came 0.6 s (median) after the registrations."""
     fleet.lose_all()
