Soak: log when a host's process is launched and when it has ended

The log has no line in between, so a process that ends late could not be told from one that starts late.

--- a/libs/soak/src/pistachiowinch/soak/hosts.py
+++ b/libs/soak/src/pistachiowinch/soak/hosts.py
@@ -1,12 +1,14 @@
 """Host processes: start, signal, monitor and restart them."""
 
 import asyncio
+import json
 import math
 import os
 import signal
 import sys
 from collections.abc import Callable, Sequence
 from pathlib import Path
+from typing import BinaryIO
 
 from pistachiowinch.base.clock import now_s, sleep_s
 from pistachiowinch.fleet.switching import PRIMARY_LEASE_MARGIN_S
@@ -93,12 +95,21 @@
                 self._process = await asyncio.create_subprocess_exec(
                     *self._command, stdout=log, stderr=log, env=environment
                 )
+                self._log_process(log, "process_launched", pid=self._process.pid)
                 await self._monitor(self._process)
+                self._log_process(log, "process_ended", status=self._process.returncode)
                 is_starting = now_s() - started_s < STARTUP_GRACE_S
                 if not self._is_exit_expected and not is_starting:
                     self._on_unexpected_exit(self, self._process.returncode)
                 await sleep_s(RESTART_DELAY_S)
 
+    @staticmethod
+    def _log_process(log: BinaryIO, event: str, **fields: int) -> None:
+        """Write a line to the host's log, between those of the host's own runs."""
+        line = {"t": round(now_s(), 3), "part": "soak", "event": event, **fields}
+        log.write(json.dumps(line).encode() + b"\n")
+        log.flush()
+
     def send_signal(self, signal_number: signal.Signals) -> None:
         """Send a signal to the process if it is running."""
         if not self.is_running:
