Tests of a silent store: cut the requests to the voters in one place

Two tests repeated the loop; an attribute of the support fleet was never read. No assertion changed, 73 tests of the two files pass.

--- a/tests/fleet/silent_store.py
+++ b/tests/fleet/silent_store.py
@@ -132,7 +132,6 @@
         self.store = MemoryStore()
         self.network = PeerNetwork(1)
         self.version = 0
-        self.hears_echoes = True
         self.voters = [Host(self, f"voter{number}", True) for number in range(VOTERS)]
         self.reader = Host(self, READER, votes)
         self._tasks = [asyncio.ensure_future(self._exchange_heartbeats())]
@@ -144,6 +143,11 @@
         self.version += 1
         put(self.store, CONFIGURATION_KEY, str(self.version).encode())
 
+    def cut_requests(self) -> None:
+        """Lose the reader's messages to the voters; their heartbeats still arrive."""
+        for voter in self.voters:
+            self.network.cut(READER, voter.name, is_one_way=True)
+
     async def _exchange_heartbeats(self) -> None:
         echoed_s = now_s()
         while True:
--- a/tests/fleet/test_silent_store.py
+++ b/tests/fleet/test_silent_store.py
@@ -71,8 +71,7 @@
 async def test_a_host_that_hears_voters_but_cannot_ask_them_has_each_version_in_time():
     """CONFIG: with one direction cut, heartbeats announced a version that nobody sent."""
     fleet = await started()
-    for voter in fleet.voters:
-        fleet.network.cut(READER, voter.name, is_one_way=True)
+    fleet.cut_requests()
     await assert_changes_in_time(fleet)
     fleet.close()
 
@@ -80,8 +79,7 @@
 async def test_an_unanswered_request_does_not_delay_the_read_of_the_store():
     """CONFIG: a request that voters leave unanswered took the time that the read would need."""
     fleet = await started()
-    for voter in fleet.voters:
-        fleet.network.cut(READER, voter.name, is_one_way=True)
+    fleet.cut_requests()
     follower = fleet.reader.followers["op/"]
     for step in range(300):
         if step % 5 == 0:
