--- a/review/6/scenario.py
+++ b/review/6/scenario.py
@@ -1,170 +1,188 @@
-"""Hosts are killed and start again one at a time; later no primary is replaced any more."""
+"""A partition moves to the zone of the promoter and of the instance that it has just ordered."""
 
 import asyncio
 import os
-import signal
 import sys
+import tempfile
 import time
 from pathlib import Path
 from typing import NamedTuple
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
+from harness2.database import Service
 from harness2.line_client import LineClient, SessionEnded
-from harness2.processes import BOUNDS, HostProcess
+from harness2.network import ZonedSite
+from harness2.processes import BOUNDS
 from harness2.record import Record
-from harness2.site import DATABASES, KEYS, Site, running_site
+from harness2.site import DATABASES, KEYS, SERVICE, configuration_body
+from harness2.store import Store
 
 FOLDER = Path(__file__).resolve().parent
-HOSTS = 4
-# One process at a time, far apart; each host has the same number of restarts in the end.
-KILLS_PER_HOST = 12
-RESTART_S = 0.3
-ALIVE_S = 0.4
-# The final fault: the machine that has just written to the store loses power for this long.
-DOWN_S = 0.6
-OPERATION_INTERVAL_S = 0.1
-CLIENTS_PER_DATABASE = 2
-# RULES.md, "RECOVER": requests sent later than recoveryS after the machines are back.
-JUDGED_S = 10.0
-LEAST_SHARE = 0.25
-
-
-class Operation(NamedTuple):
-    """One operation of a caller.
-
-    :param is_served: whether it was answered with success.
+# The first zone has the primary; the hosts' names make one of the second zone the promoter.
+ZONES = ("cluj-a", "cluj-b", "turda-c")
+NAMES = {zone: [f"front-{zone}-{number}" for number in (1, 2, 3)] for zone in ZONES}
+# Time from the promotion order to the move of the partition. The promotion takes 1 s.
+MOVE_AFTER_S = 0.4
+FIRST_CUT_LIMIT_S = 5.0
+SECOND_CUT_S = 5.0
+SETTLE_S = 5.0
+OPERATION_INTERVAL_S = 0.05
+CALLERS = 6
+
+
+class Acknowledged(NamedTuple):
+    """A write that was answered with success.
+
+    :param host: the host that took it.
     """
 
+    request_id: str
     sent_s: float
-    is_served: bool
+    answered_s: float
+    host: str
 
 
 class Caller:
-    """Reads and writes in turn, and goes to the next host after an error.
+    """Writes on the primary's database, and goes to the next host after an error.
 
-    :param operations: receives every operation.
+    :param acknowledged: receives each write that was answered with success.
     """
 
     def __init__(
-        self, site: Site, kind: str, number: int, operations: list[Operation], record: Record
+        self, site: ZonedSite, number: int, acknowledged: list[Acknowledged], record: Record
     ) -> None:
         """Create a caller; :meth:`run` starts it."""
-        self._site, self._kind, self._number = site, kind, number
-        self._operations, self._record = operations, record
+        self._hosts = list(site.hosts.values())
+        self._number, self._acknowledged, self._record = number, acknowledged, record
         self._client: LineClient | None = None
         self._turn = number
 
     async def run(self) -> None:
-        """Send operations until cancelled."""
+        """Send writes until cancelled."""
         count = 0
         while True:
             count += 1
-            request_id = f"{self._kind[0]}{self._number}n{count}"
-            is_write = self._kind != "bounded" and count % 4 == 0
-            text = f"WRITE k{self._number} v{count}" if is_write else f"READ k{self._number}"
+            request_id = f"w{self._number}n{count}"
+            host = self._hosts[self._turn % len(self._hosts)]
             sent_s = time.monotonic()
-            outcome, is_served = await self._attempt(request_id, text)
-            self._operations.append(Operation(sent_s, is_served))
-            self._record.write(f"{self._kind} {request_id} {text}: {outcome}")
+            try:
+                if self._client is None:
+                    self._client = LineClient()
+                    key = KEYS[f"tenant{self._number}"]
+                    database = DATABASES["primary"]
+                    await self._client.open(host.ip, host.front_port, database, key)
+                answer = await self._client.send(request_id, f"WRITE k{self._number} v{count}")
+            except SessionEnded as error:
+                self._record.write(f"{host.name} {request_id}: {error}")
+                self._leave()
+            else:
+                self._record.write(f"{host.name} {request_id}: {answer.summary}")
+                if answer.error:
+                    self._leave()
+                else:
+                    self._acknowledged.append(
+                        Acknowledged(request_id, sent_s, time.monotonic(), host.name)
+                    )
             await asyncio.sleep(OPERATION_INTERVAL_S)
 
-    async def _attempt(self, request_id: str, text: str) -> tuple[str, bool]:
-        try:
-            if self._client is None:
-                host = self._site.hosts[self._turn % len(self._site.hosts)]
-                self._client = LineClient()
-                key = KEYS[f"tenant{self._number}"]
-                await self._client.open(host.ip, host.front_port, DATABASES[self._kind], key)
-            answer = await self._client.send(request_id, text)
-        except SessionEnded as error:
-            self._leave()
-            return str(error), False
-        if answer.error:
-            self._leave()
-        return answer.summary, not answer.error
-
     def _leave(self) -> None:
         self._client.close()
         self._client = None
         self._turn += 1
 
 
-async def kill_and_restart(host: HostProcess, down_s: float) -> None:
-    """Kill a host's process and start it again."""
-    host.signal(signal.SIGKILL)
-    await host.wait()
-    await asyncio.sleep(down_s)
-    await host.start()
+def broken_writes(site: ZonedSite, acknowledged: list[Acknowledged]) -> list[str]:
+    """Return what breaks RULES.md, "ONE": acknowledged commits at an old primary.
 
+    Left out are writes of senders whose zone was cut off within ``thawSlackMs``.
+    """
+    answers = {write.request_id: write for write in acknowledged}
+    found = []
+    for at_s, instance, entry in site.service.commits:
+        write = answers.get(entry.commit_id)
+        newer = [name for since_s, name in site.service.promoted if since_s < at_s]
+        if write is None or not newer or newer[-1] == instance:
+            continue
+        if site.was_cut(site.zones[write.host], at_s, BOUNDS["thawSlackMs"] / 1000.0):
+            continue
+        found.append(
+            f"{entry.commit_id} by {write.host}, committed at {instance} after {newer[-1]}"
+        )
+    return found
 
-async def kill_one_after_another(site: Site, record: Record) -> None:
-    """Kill single processes; each is back, and has been for a while, before the next one."""
-    for host in site.hosts:
-        for _ in range(KILLS_PER_HOST):
-            await kill_and_restart(host, RESTART_S)
-            await host.wait_until_ready()
-            await asyncio.sleep(ALIVE_S)
-        record.write(f"{host.name} was killed {KILLS_PER_HOST} times and is ready")
 
+async def move_partition(site: ZonedSite, record: Record) -> None:
+    """Cut the primary's zone off, and then that of the promoter and the ordered instance.
 
-def share_served(operations: list[Operation], from_s: float, to_s: float) -> tuple[int, int]:
-    """Return the operations sent in a span, and how many of them were served."""
-    sent = [operation for operation in operations if from_s <= operation.sent_s < to_s]
-    return len(sent), sum(operation.is_served for operation in sent)
+    :raises RuntimeError: if nothing was ordered, or the two are not in one zone.
+    """
+    site.cut(ZONES[0])
+    record.write(f"{ZONES[0]} is cut off, with the primary {site.service.primary.name}")
+    start_s = time.monotonic()
+    while not site.platform.orders:
+        await asyncio.sleep(0.01)
+        if time.monotonic() - start_s > FIRST_CUT_LIMIT_S:
+            raise RuntimeError("no promotion was ordered")
+    order = site.platform.orders[0]
+    record.write(f"ordered: {order}")
+    zone = site.zones[order.holder]
+    if site.service.instances[order.instance].zone != zone:
+        raise RuntimeError(f"{order.holder} has ordered an instance of another zone")
+    await asyncio.sleep(MOVE_AFTER_S)
+    site.heal(ZONES[0])
+    site.cut(zone)
+    record.write(f"{ZONES[0]} is back, {zone} is cut off")
+    await asyncio.sleep(SECOND_CUT_S)
+    site.heal(zone)
+    record.write(f"{zone} is back")
+
+
+async def run_site(site: ZonedSite, record: Record, is_troubled: bool) -> int:
+    """Run callers and the partition; return the exit status."""
+    acknowledged: list[Acknowledged] = []
+    callers = [Caller(site, number, acknowledged, record) for number in range(CALLERS)]
+    tasks = [asyncio.create_task(caller.run()) for caller in callers]
+    try:
+        await asyncio.sleep(5.0)
+        if is_troubled:
+            await move_partition(site, record)
+        await asyncio.sleep(SETTLE_S)
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+    for at_s, name in site.service.promoted:
+        record.write(f"promoted: {name} at {at_s:.3f}")
+    for order in site.platform.orders:
+        record.write(f"order: {order}")
+    kept = {entry.commit_id for entry in site.service.primary.log}
+    lost = [write.request_id for write in acknowledged if write.request_id not in kept]
+    found = broken_writes(site, acknowledged)
+    for text in found:
+        record.write(f"ONE: {text}")
+    record.write(f"{len(acknowledged)} writes were acknowledged, {len(lost)} of them are lost")
+    record.write(f"{len(found)} were committed at an old primary and acknowledged")
+    if not acknowledged:
+        raise RuntimeError("no write was acknowledged")
+    record.write("rule ONE broken" if found else "rule ONE held")
+    return 1 if found else 0
 
 
 async def main() -> int:
     """Run the scenario; return the exit status."""
     is_troubled = os.environ.get("TROUBLE") != "0"
     record = Record(FOLDER)
-    operations: list[Operation] = []
-    async with running_site(HOSTS) as site:
-        record.write(f"{HOSTS} hosts ready, primary {site.service.primary.name}")
-        callers = [
-            Caller(site, kind, number, operations, record)
-            for kind in DATABASES
-            for number in range(CLIENTS_PER_DATABASE)
-        ]
-        tasks = [asyncio.create_task(caller.run()) for caller in callers]
-        start_s = time.monotonic()
-        # The voters are recorded once the hosts have been known for a while.
-        await asyncio.sleep(4.0)
-        if is_troubled:
-            await kill_one_after_another(site, record)
-        await asyncio.sleep(1.0)
-        fault_s = time.monotonic()
-        site.version += 1
-        site.store.put("op/config", site.configuration())
-        record.write("a configuration was confirmed; final fault: one machine loses power")
-        await kill_and_restart(site.hosts[-1], DOWN_S)
-        back_s = time.monotonic()
-        lost = site.service.primary
-        lost.stop()
-        site.store.remove(f"servers/{lost.name}")
-        record.write(f"the machine is back; the primary {lost.name} is lost for good")
-        judged_from_s = back_s + BOUNDS["recoveryS"]
-        await asyncio.sleep(judged_from_s + JUDGED_S - time.monotonic() + 1.0)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-        are_ready = [await host.is_ready() for host in site.hosts]
-        before = share_served(operations, start_s, fault_s)
-        after = share_served(operations, judged_from_s, judged_from_s + JUDGED_S)
-        record.write(f"hosts that run: {[host.is_running for host in site.hosts]}")
-        record.write(f"hosts that are ready: {are_ready}")
-        record.write(f"promotion orders: {site.platform.orders}")
-        record.write(f"promotions: {[name for _, name in site.service.promoted]}")
-        record.write(f"before the final fault {before[1]} of {before[0]} operations were served")
-        record.write(
-            f"later than {BOUNDS['recoveryS']} s after the machines were back {after[1]} of "
-            f"{after[0]} operations were served"
-        )
-        if before[1] < LEAST_SHARE * before[0] or not after[0]:
-            raise RuntimeError("too few operations were served before the fault")
-        is_broken = after[1] < LEAST_SHARE * after[0]
-        record.write("rule RECOVER broken" if is_broken else "rule RECOVER held")
-        return 1 if is_broken else 0
+    with tempfile.TemporaryDirectory() as folder:
+        store = Store()
+        service = Service(store, SERVICE, "127.0.0.1", ZONES)
+        site = ZonedSite(Path(folder), store, service, NAMES)
+        store.put("op/config", configuration_body(1, service.max_connections))
+        try:
+            await site.start()
+            return await run_site(site, record, is_troubled)
+        finally:
+            await site.stop()
 
 
 if __name__ == "__main__":
--- a/review/harness2/database.py
+++ b/review/harness2/database.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from typing import Any, NamedTuple
 
 from harness2.http import HttpServer, Request, Response
@@ -368,6 +368,7 @@
         self.primary = next(iter(self.instances.values()))
         self.primary.is_primary = True
         self.promote_s = PROMOTE_S
+        self._tasks: set[asyncio.Task] = set()
 
     async def start(self) -> None:
         """Start all instances."""
@@ -378,6 +379,8 @@
         """Stop all instances."""
         for instance in self.instances.values():
             instance.stop()
+        for task in self._tasks:
+            task.cancel()
 
     def order(self, name: str) -> int:
         """Take a promotion order; return its status."""
@@ -399,21 +402,28 @@
         instance.report()
         self.promoted.append((time.monotonic(), instance.name))
         for other in self.instances.values():
-            if other not in (instance, old):
-                other.follow(instance)
-        asyncio.get_running_loop().create_task(self._stop_old(old))
+            if other is not instance:
+                self._start(self._follow_new(other, OLD_PRIMARY_STOPS_S if other is old else 0.0))
 
-    async def _stop_old(self, old: Instance) -> None:
-        """The old primary continues until a second after it can reach the new one."""
-        while not (old.is_up and self.primary.is_up and self.may_reach(old, self.primary)):
+    async def _follow_new(self, other: Instance, delay_s: float) -> None:
+        """Make an instance follow the new primary once it can reach it.
+
+        :param delay_s: time for which an old primary continues after that.
+        """
+        while not (other.is_up and self.primary.is_up and self.may_reach(other, self.primary)):
             await asyncio.sleep(0.05)
-        await asyncio.sleep(OLD_PRIMARY_STOPS_S)
-        if old is not self.primary and old.is_primary:
-            old.follow(self.primary)
+        await asyncio.sleep(delay_s)
+        if other is not self.primary:
+            other.follow(self.primary)
+
+    def _start(self, coroutine: Coroutine) -> None:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     def demote(self, instance: Instance) -> None:
         """Make an old primary a replica."""
-        if instance is not self.primary:
+        if instance is not self.primary and self.may_reach(instance, self.primary):
             instance.follow(self.primary)
 
 
--- a/review/harness2/processes.py
+++ b/review/harness2/processes.py
@@ -85,7 +85,7 @@
         self.ip = place.ip
         self.front_port = free_port(place.ip)
         self.ready_port = free_port(place.ip)
-        self._peer_port = free_port(place.ip)
+        self.peer_port = free_port(place.ip)
         self._place = place
         self._zones = zones
         self._path = folder / f"{place.name}.json"
@@ -179,7 +179,7 @@
                 "front": f"{place.ip}:{self.front_port}",
                 "ready": f"{place.ip}:{self.ready_port}",
             },
-            "portRange": [self._peer_port, self._peer_port],
+            "portRange": [self.peer_port, self.peer_port],
             "seeds": [],
             "bootstrap": True,
             "countsAsLoss": True,
--- a/review/harness2/site.py
+++ b/review/harness2/site.py
@@ -10,7 +10,7 @@
 from harness2.processes import HostPlace, HostProcess
 from harness2.store import Store
 
-__all__ = ["DATABASES", "KEYS", "Site", "running_site"]
+__all__ = ["DATABASES", "KEYS", "REGIONS", "SERVICE", "Site", "configuration_body", "running_site"]
 
 ZONES = ("cluj-a", "cluj-b", "turda-c")
 REGIONS = {zone: "ro-central" for zone in ZONES}
@@ -23,6 +23,32 @@
 _LATENCY_MS = {"primary": 200, "bounded": 800, "read_your_writes": 400}
 
 
+def configuration_body(version: int, max_connections: int) -> dict[str, Any]:
+    """Return an operator's configuration of the service."""
+    return {
+        "version": version,
+        "routes": [
+            {
+                "host": database,
+                "service": SERVICE,
+                "kind": kind,
+                "timeoutMs": _TIMEOUT_MS[kind],
+                "targetLatencyMs": _LATENCY_MS[kind],
+                "priority": 1 if kind == "primary" else 2,
+                "maxStalenessMs": _STALENESS_MS[kind],
+                "public": False,
+            }
+            for kind, database in DATABASES.items()
+        ],
+        "services": [{"name": SERVICE, "maxConns": max_connections}],
+        "limits": {"maxBodyBytes": 262144, "txIdleMs": 3000},
+        "tenants": [
+            {"name": name, "apiKeys": [key], "ratePerS": 400.0, "burst": 400.0}
+            for name, key in KEYS.items()
+        ],
+    }
+
+
 class Site:
     """Stand-ins and hosts of one deployment.
 
@@ -43,28 +69,7 @@
 
     def configuration(self) -> dict[str, Any]:
         """Return the operator's configuration."""
-        return {
-            "version": self.version,
-            "routes": [
-                {
-                    "host": database,
-                    "service": SERVICE,
-                    "kind": kind,
-                    "timeoutMs": _TIMEOUT_MS[kind],
-                    "targetLatencyMs": _LATENCY_MS[kind],
-                    "priority": 1 if kind == "primary" else 2,
-                    "maxStalenessMs": _STALENESS_MS[kind],
-                    "public": False,
-                }
-                for kind, database in DATABASES.items()
-            ],
-            "services": [{"name": SERVICE, "maxConns": self.service.max_connections}],
-            "limits": {"maxBodyBytes": 262144, "txIdleMs": 3000},
-            "tenants": [
-                {"name": name, "apiKeys": [key], "ratePerS": 400.0, "burst": 400.0}
-                for name, key in KEYS.items()
-            ],
-        }
+        return configuration_body(self.version, self.service.max_connections)
 
     async def start(self) -> None:
         """Start the stand-ins and the hosts, and wait until the hosts are ready."""
--- a/review/harness2/store.py
+++ b/review/harness2/store.py
@@ -4,6 +4,7 @@
 import base64
 import json
 import time
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
 from harness2.http import HttpServer, Request, Response
@@ -58,6 +59,19 @@
         if self._expiry is not None:
             self._expiry.cancel()
 
+    async def open_port(self, ip: str, translate: Callable[[str, bytes], bytes]) -> HttpServer:
+        """Listen for one client on another port.
+
+        :param translate: converts a key's value before it is sent to that client.
+        """
+
+        async def handle(request: Request) -> Response:
+            return _translated(await self._handle(request), translate)
+
+        port = HttpServer(handle)
+        await port.start(ip)
+        return port
+
     # Direct access for the operator and the instances
 
     def put(self, key: str, body: Any, lease: int = 0) -> int:
@@ -213,3 +227,13 @@
         self._wake()
         self.writes.append((time.monotonic(), [row["key"] for row in body["setKeys"]]))
         return Response(200, {"revision": self.revision})
+
+
+def _translated(response: Response, translate: Callable[[str, bytes], bytes]) -> Response:
+    body = response.body or {}
+    rows = [*body.get("items", ()), *body.get("events", ()), *([body] if "value" in body else ())]
+    for row in rows:
+        if "value" in row:
+            value = translate(row["key"], base64.b64decode(row["value"]))
+            row["value"] = base64.b64encode(value).decode()
+    return response
