--- a/libs/fleet/src/pistachiowinch/fleet/records.py
+++ b/libs/fleet/src/pistachiowinch/fleet/records.py
@@ -83,11 +83,13 @@
     :param primary: the target's name; empty while a switch is in progress.
     :param ordered: target that the switch in progress ordered to be promoted last; empty if it has
         ordered none, None if unknown.
+    :param ordered_by: host that gave this order.
     """
 
     epoch: int
     primary: str
     ordered: str | None = None
+    ordered_by: str = ""
 
 
 class VoterSetRecord(msgspec.Struct, frozen=True):
--- a/libs/fleet/src/pistachiowinch/fleet/switching.py
+++ b/libs/fleet/src/pistachiowinch/fleet/switching.py
@@ -148,6 +148,7 @@
         self._revision = 0
         self._begun_revision = 0
         self._ordered: str | None = ""
+        self._ordered_by = ""
         self._started_s = now_s()
         self._states: dict[str, TargetState] = {}
 
@@ -160,7 +161,13 @@
             return False
         if not await self._begin():
             return False
-        self._log("switch_begun", reason=self._request.reason, old=self._request.old_primary)
+        self._log(
+            "switch_begun",
+            reason=self._request.reason,
+            old=self._request.old_primary,
+            ordered=self._ordered,
+            ordered_by=self._ordered_by,
+        )
         if not await self._drain_all_hosts():
             self._log("switch_given_up", cause="too few hosts answered")
             return False
@@ -186,8 +193,9 @@
             self._epoch = max(recorded.epoch, known_epoch) + 1
             # A restored store may have lost the record of an order.
             ordered = recorded.ordered if recorded.epoch >= known_epoch else None
-            self._ordered = ordered if self._is_continued else ""
-            record = PrimaryRecord(self._epoch, "", self._ordered)
+            if self._is_continued:
+                self._ordered, self._ordered_by = ordered, recorded.ordered_by
+            record = PrimaryRecord(self._epoch, "", self._ordered, self._ordered_by)
             reply = await self._context.store.transact(
                 [
                     self._context.promotion_lock.condition,
@@ -297,9 +305,11 @@
             ordered = self._resumable_target(failed)
             promoted = self._promoted_target()
             if promoted is not None and ordered in (None, promoted):
+                self._log_choice(promoted, "primary of the highest term that was reported")
                 return promoted
             target = ordered or self._best_candidate(failed)
             if target is None and self._is_old_still_primary():
+                self._log_choice(self._request.old_primary, "the old primary still leads")
                 return self._request.old_primary
             if target is None:
                 failed = {self._request.old_primary} if not failed else set()
@@ -312,6 +322,7 @@
             if not await self._record_order(target):
                 return None
             if await self._order_promotion(target) and await self._wait_until_primary(target):
+                self._log_choice(target, "took over after this switch's order")
                 return target
             failed.add(target)
         return None
@@ -344,7 +355,7 @@
             return True
         lock = self._context.promotion_lock
         key = group_key(self._request.service)
-        record = PrimaryRecord(self._epoch, "", target)
+        record = PrimaryRecord(self._epoch, "", target, self._context.host)
         while lock.is_held:
             try:
                 reply = await self._context.store.transact(
@@ -352,7 +363,7 @@
                     [Put(key, encode_record(record))],
                 )
                 if reply.succeeded:
-                    self._revision, self._ordered = reply.revision, target
+                    self._note_ordered(target, reply.revision)
                     return True
                 # The answer to an earlier attempt may have been lost.
                 current = await self._context.store.get(key)
@@ -363,11 +374,14 @@
             if current is None or decode_record(current, PrimaryRecord) != record:
                 self._log("order_not_recorded", target=target, cause="the record has changed")
                 return False
-            self._revision, self._ordered = current.mod_revision, target
+            self._note_ordered(target, current.mod_revision)
             return True
         self._log("order_withheld", target=target, fence=lock.fencing_token)
         return False
 
+    def _note_ordered(self, target: str, revision: int) -> None:
+        self._revision, self._ordered, self._ordered_by = revision, target, self._context.host
+
     async def _read_states(self, failed: set[str]) -> None:
         """Query all candidates, and the old primary if it works or a promotion failed."""
         names = set(self._request.candidates)
@@ -464,7 +478,9 @@
                 self._log("outcome_not_recorded", cause=str(error)[:80])
                 await sleep_s(STORE_RETRY_DELAY_S)
                 continue
-            if not reply.succeeded:
+            if reply.succeeded:
+                self._log("outcome_recorded", primary=record.primary, revision=reply.revision)
+            else:
                 self._log("outcome_not_recorded", cause="the record has changed")
             return
 
@@ -474,5 +490,28 @@
             term = max((state.term for state in self._states.values()), default=0) + 1
             await self._context.orders.demote(self._request.service, old, term, DEMOTE_TIMEOUT_S)
 
+    def _log_choice(self, primary: str, evidence: str) -> None:
+        """Log which target becomes primary, and what is known of a target ordered before."""
+        asked = {*self._request.candidates, self._request.old_primary} - {""}
+        self._log(
+            "primary_chosen",
+            primary=primary,
+            evidence=evidence,
+            ordered=self._ordered,
+            ordered_by=self._ordered_by,
+            ordered_answered=self._ordered in self._states,
+            states={name: self._describe(name) for name in sorted(asked)},
+        )
+
+    def _describe(self, target: str) -> str:
+        state = self._states.get(target)
+        if state is None:
+            return "no answer"
+        role = "primary" if state.is_primary else "replica"
+        received = (
+            "-" if state.received is None else f"{state.received.term}.{state.received.number}"
+        )
+        return f"{role} of term {state.term} at {received}"
+
     def _log(self, event: str, **fields: object) -> None:
         self._context.log.write(event, service=self._request.service, epoch=self._epoch, **fields)
--- a/tests/fleet/test_switching.py
+++ b/tests/fleet/test_switching.py
@@ -400,7 +400,7 @@
 
     world.group.promote = record_then_promote
     assert await PrimarySwitch(world.context, CRASH_REQUEST).run()
-    assert recorded == [PrimaryRecord(1, "", "c")]
+    assert recorded == [PrimaryRecord(1, "", "c", "p")]
 
 
 async def test_a_lost_answer_to_the_record_of_an_order_does_not_end_the_switch():
