--- a/libs/entry/src/pistachiowinch/entry/group_views.py
+++ b/libs/entry/src/pistachiowinch/entry/group_views.py
@@ -134,6 +134,7 @@
             is_primary_registered=primary in targets,
             is_primary_leaving=self._view.is_leaving(primary),
             candidates=candidates,
+            targets=tuple(targets),
             suspecting_hosts=len(suspecting),
             reporting_hosts=len(reporting),
             suspecting_zones=len({zones.get(host) for host in suspecting}),
--- a/libs/fleet/src/pistachiowinch/fleet/records.py
+++ b/libs/fleet/src/pistachiowinch/fleet/records.py
@@ -84,12 +84,18 @@
     :param ordered: target that the switch in progress ordered to be promoted last; empty if it has
         ordered none, None if unknown.
     :param ordered_by: host that gave this order.
+    :param term_before: highest term that any target reported before this order; the ordered target
+        has taken over when it is primary of a later one. None if unknown.
+    :param ordered_before: targets that switches since the last recorded primary had ordered before;
+        None if unknown.
     """
 
     epoch: int
     primary: str
     ordered: str | None = None
     ordered_by: str = ""
+    term_before: int | None = None
+    ordered_before: tuple[str, ...] | None = ()
 
 
 class VoterSetRecord(msgspec.Struct, frozen=True):
--- a/libs/fleet/src/pistachiowinch/fleet/supervision.py
+++ b/libs/fleet/src/pistachiowinch/fleet/supervision.py
@@ -36,6 +36,7 @@
 
     :param is_switching: whether a switch is in progress.
     :param candidates: targets that may become primary.
+    :param targets: all targets of the service.
     :param suspecting_hosts: number of hosts, out of ``reporting_hosts``, to which the primary does
         not answer.
     :param suspecting_zones: number of availability zones of those hosts, out of
@@ -56,6 +57,7 @@
     reporting_zones: int
     unreachable_candidates: frozenset[str] = frozenset()
     is_switch_orphaned: bool = False
+    targets: tuple[str, ...] = ()
 
     @property
     def reachable_candidates(self) -> tuple[str, ...]:
@@ -165,7 +167,9 @@
             return
         self._next_attempt_s[service] = now_s() + RANK_DELAY_S
         candidates = view.reachable_candidates or view.candidates
-        request = SwitchRequest(service, reason.text, reason.is_planned, view.primary, candidates)
+        request = SwitchRequest(
+            service, reason.text, reason.is_planned, view.primary, candidates, view.targets
+        )
         switch = PrimarySwitch(self._context, request)
         self._running[service] = asyncio.get_running_loop().create_task(switch.run())
 
--- a/libs/fleet/src/pistachiowinch/fleet/switching.py
+++ b/libs/fleet/src/pistachiowinch/fleet/switching.py
@@ -17,6 +17,17 @@
 from pistachiowinch.fleet.messages import DrainAnswer, DrainRequest, PrimaryNotice
 from pistachiowinch.fleet.primaries import PrimaryTable
 from pistachiowinch.fleet.primary_lease import PRIMARY_LEASE_S, includes_majority
+from pistachiowinch.fleet.promotion_choice import (
+    NO_ORDERS,
+    OrderTarget,
+    PromotionOrders,
+    SwitchProgress,
+    UseTarget,
+    WaitForOrder,
+    WaitForTargets,
+    choose_primary,
+    highest_term,
+)
 from pistachiowinch.fleet.promotion_lock import PromotionLock, try_acquire_lock
 from pistachiowinch.fleet.records import PrimaryRecord, decode_record, encode_record, group_key
 from pistachiowinch.links.peers import PeerLink, PeerUnreachable
@@ -97,6 +108,7 @@
     :param is_planned: whether the old primary still works.
     :param old_primary: the old primary's name; empty if unknown.
     :param candidates: targets that may become primary, preferred ones first.
+    :param targets: all targets of the service.
     """
 
     service: str
@@ -104,6 +116,7 @@
     is_planned: bool
     old_primary: str
     candidates: tuple[str, ...]
+    targets: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -133,6 +146,12 @@
     log: DecisionLog
 
 
+def _orders_of(record: PrimaryRecord) -> PromotionOrders:
+    return PromotionOrders(
+        record.ordered, record.ordered_by, record.term_before, record.ordered_before
+    )
+
+
 class PrimarySwitch:
     """One switch, from its start in the store to the announcement of the new primary.
 
@@ -147,8 +166,9 @@
         self._epoch = 0
         self._revision = 0
         self._begun_revision = 0
-        self._ordered: str | None = ""
-        self._ordered_by = ""
+        self._ordered = NO_ORDERS
+        self._last_order_s = now_s()
+        self._asks_old_primary = False
         self._started_s = now_s()
         self._states: dict[str, TargetState] = {}
 
@@ -165,8 +185,8 @@
             "switch_begun",
             reason=self._request.reason,
             old=self._request.old_primary,
-            ordered=self._ordered,
-            ordered_by=self._ordered_by,
+            ordered=self._ordered.target,
+            ordered_by=self._ordered.host,
         )
         if not await self._drain_all_hosts():
             self._log("switch_given_up", cause="too few hosts answered")
@@ -191,11 +211,11 @@
             recorded = self._decode_recorded(current)
             known_epoch = self._context.table.epoch(service)
             self._epoch = max(recorded.epoch, known_epoch) + 1
-            # A restored store may have lost the record of an order.
-            ordered = recorded.ordered if recorded.epoch >= known_epoch else None
             if self._is_continued:
-                self._ordered, self._ordered_by = ordered, recorded.ordered_by
-            record = PrimaryRecord(self._epoch, "", self._ordered, self._ordered_by)
+                # A restored store may have lost the record of an order.
+                is_lost = recorded.epoch < known_epoch
+                self._ordered = PromotionOrders(None) if is_lost else _orders_of(recorded)
+            record = self._ongoing_record(self._ordered)
             reply = await self._context.store.transact(
                 [
                     self._context.promotion_lock.condition,
@@ -210,6 +230,7 @@
             self._log("switch_not_begun", cause="another host changed the record")
             return False
         self._revision = self._begun_revision = reply.revision
+        self._last_order_s = now_s()
         self._context.table.adopt(service, record, "own switch")
         return True
 
@@ -299,63 +320,57 @@
         failed: set[str] = set()
         while now_s() - self._started_s < SWITCH_TIMEOUT_S:
             await self._read_states(failed)
-            if self._may_earlier_order_take_effect(failed):
-                await sleep_s(POLL_INTERVAL_S)
-                continue
-            ordered = self._resumable_target(failed)
-            promoted = self._promoted_target()
-            if promoted is not None and ordered in (None, promoted):
-                self._log_choice(promoted, "primary of the highest term that was reported")
-                return promoted
-            target = ordered or self._best_candidate(failed)
-            if target is None and self._is_old_still_primary():
-                self._log_choice(self._request.old_primary, "the old primary still leads")
-                return self._request.old_primary
-            if target is None:
-                failed = {self._request.old_primary} if not failed else set()
-                await sleep_s(POLL_INTERVAL_S)
-                continue
-            if self._request.is_planned:
-                await self._wait_caught_up(target)
-            if not await try_acquire_lock(self._context.promotion_lock, self._context.log):
-                return None
-            if not await self._record_order(target):
-                return None
-            if await self._order_promotion(target) and await self._wait_until_primary(target):
-                self._log_choice(target, "took over after this switch's order")
-                return target
-            failed.add(target)
+            choice = choose_primary(self._progress(failed))
+            match choice:
+                case UseTarget(target, evidence):
+                    self._log_choice(target, evidence)
+                    return target
+                case OrderTarget(target, _):
+                    if self._request.is_planned:
+                        await self._wait_caught_up(target)
+                    if not await try_acquire_lock(self._context.promotion_lock, self._context.log):
+                        return None
+                    previous = self._ordered
+                    if not await self._record_order(target):
+                        return None
+                    answer = await self._order_promotion(choice)
+                    if answer in (PromoteAnswer.ACCEPTED, PromoteAnswer.UNAVAILABLE):
+                        self._last_order_s = now_s()
+                        if await self._takes_over(target, answer):
+                            return target
+                    else:
+                        # An order that was not executed has no effect; the one before it may have.
+                        self._ordered = previous
+                    failed.add(target)
+                case WaitForOrder():
+                    await sleep_s(POLL_INTERVAL_S)
+                case WaitForTargets():
+                    self._asks_old_primary = True
+                    failed.clear()
+                    await sleep_s(POLL_INTERVAL_S)
         return None
 
-    def _resumable_target(self, failed: set[str]) -> str | None:
-        """Return the target that an earlier switch ordered, if ordering it again is right.
-
-        A second order for the same target cannot contradict the first one, whose effect may still
-        be due. A target whose log is shorter than another's is not ordered again.
-        """
-        target = self._ordered if self._is_continued else None
-        best = self._best_candidate(failed)
-        if not target or best is None or target not in self._states or target in failed:
-            return None
-        is_longest = self._states[target].received == self._states[best].received
-        return target if is_longest or self._states[target].is_primary else None
-
-    def _may_earlier_order_take_effect(self, failed: set[str]) -> bool:
-        """Return whether an earlier switch's order may still promote a target unexpectedly."""
-        if not self._is_continued or now_s() - self._started_s >= ORDER_EFFECT_S:
-            return False
-        if self._ordered is None:
-            return True
-        is_open = bool(self._ordered) and self._ordered not in failed
-        return is_open and self._resumable_target(failed) is None
+    def _progress(self, failed: set[str]) -> SwitchProgress:
+        request = self._request
+        return SwitchProgress(
+            states=self._states,
+            candidates=request.candidates,
+            targets={*request.targets, *request.candidates},
+            old_primary=request.old_primary,
+            orders=self._ordered,
+            is_settled=now_s() - self._last_order_s >= ORDER_EFFECT_S,
+            failed=failed,
+        )
 
     async def _record_order(self, target: str) -> bool:
         """Record which target is about to be ordered, for the host that continues this switch."""
-        if self._ordered == target:
+        if self._ordered.target == target and self._ordered.term_before is not None:
             return True
+        term_before = highest_term(self._states)
+        order = self._ordered.followed_by(target, self._context.host, term_before)
         lock = self._context.promotion_lock
         key = group_key(self._request.service)
-        record = PrimaryRecord(self._epoch, "", target, self._context.host)
+        record = self._ongoing_record(order)
         while lock.is_held:
             try:
                 reply = await self._context.store.transact(
@@ -363,7 +378,7 @@
                     [Put(key, encode_record(record))],
                 )
                 if reply.succeeded:
-                    self._note_ordered(target, reply.revision)
+                    self._revision, self._ordered = reply.revision, order
                     return True
                 # The answer to an earlier attempt may have been lost.
                 current = await self._context.store.get(key)
@@ -374,19 +389,26 @@
             if current is None or decode_record(current, PrimaryRecord) != record:
                 self._log("order_not_recorded", target=target, cause="the record has changed")
                 return False
-            self._note_ordered(target, current.mod_revision)
+            self._revision, self._ordered = current.mod_revision, order
             return True
         self._log("order_withheld", target=target, fence=lock.fencing_token)
         return False
 
-    def _note_ordered(self, target: str, revision: int) -> None:
-        self._revision, self._ordered, self._ordered_by = revision, target, self._context.host
+    def _ongoing_record(self, order: PromotionOrders) -> PrimaryRecord:
+        return PrimaryRecord(self._epoch, "", *order)
 
     async def _read_states(self, failed: set[str]) -> None:
-        """Query all candidates, and the old primary if it works or a promotion failed."""
-        names = set(self._request.candidates)
-        if self._request.is_planned or failed:
-            names |= {self._request.old_primary} - {""}
+        """Query the targets that may become or be primary.
+
+        The old primary is one if it works, or if the candidates failed.
+        """
+        orders = self._ordered
+        names = {*self._request.candidates, orders.target or "", *(orders.earlier or ())}
+        if orders.target is None or orders.earlier is None:
+            names |= set(self._request.targets)
+        if self._request.is_planned or failed or self._asks_old_primary:
+            names.add(self._request.old_primary)
+        names.discard("")
         requests = [self._state_of(name) for name in sorted(names)]
         replies = await asyncio.gather(*requests)
         self._states = {name: state for name, state in replies if state is not None}
@@ -395,31 +417,6 @@
         service = self._request.service
         return target, await self._context.orders.state(service, target, STATE_TIMEOUT_S)
 
-    def _promoted_target(self) -> str | None:
-        """Return a candidate that an earlier switch has already promoted, or None."""
-        highest_term = max((state.term for state in self._states.values()), default=0)
-        for name, state in self._states.items():
-            if state.is_primary and state.term == highest_term and name in self._request.candidates:
-                return name
-        return None
-
-    def _is_old_still_primary(self) -> bool:
-        """Return whether the old primary answers and no target reports a later term."""
-        state = self._states.get(self._request.old_primary)
-        highest_term = max((known.term for known in self._states.values()), default=0)
-        return state is not None and state.is_primary and state.term == highest_term
-
-    def _best_candidate(self, failed: set[str]) -> str | None:
-        """Return the candidate with the longest log, or None."""
-        best: str | None = None
-        for name in self._request.candidates:
-            state = self._states.get(name)
-            if state is None or name in failed or state.received is None:
-                continue
-            if best is None or state.received > self._states[best].received:
-                best = name
-        return best
-
     async def _wait_caught_up(self, target: str) -> None:
         """Wait until a replica has received all entries in the old primary's log."""
         until_s = now_s() + CATCH_UP_TIMEOUT_S
@@ -433,25 +430,46 @@
             if state is not None:
                 self._states[target] = state
 
-    async def _order_promotion(self, target: str) -> bool:
-        lock = self._context.promotion_lock
+    async def _order_promotion(self, choice: OrderTarget) -> PromoteAnswer | None:
+        """Send an order; return None if it was withheld."""
+        lock, target = self._context.promotion_lock, choice.target
         if not lock.is_held:
             self._log("order_withheld", target=target, fence=lock.fencing_token)
-            return False
+            return None
         service = self._request.service
         answer = await self._context.orders.promote(
             service, target, self._context.host, lock.fencing_token
         )
-        self._log("promotion_ordered", target=target, fence=lock.fencing_token, answer=answer.value)
-        return answer is not PromoteAnswer.NOT_RUNNING
+        self._log(
+            "promotion_ordered",
+            target=target,
+            reason=choice.reason,
+            fence=lock.fencing_token,
+            answer=answer.value,
+        )
+        return answer
+
+    async def _takes_over(self, target: str, answer: PromoteAnswer) -> bool:
+        """Wait until an ordered target is known to be the newest primary.
 
-    async def _wait_until_primary(self, target: str) -> bool:
-        previous_term = max((state.term for state in self._states.values()), default=0)
+        :param answer: the platform's answer to the order.
+        :returns: false if the target was not seen to be primary in time.
+        """
+        before = self._states.get(target)
+        previous_term = highest_term(self._states)
+        was_leading = before is not None and before.is_primary and before.term == previous_term
         until_s = now_s() + PROMOTION_TIMEOUT_S
         while now_s() < until_s:
             _, state = await self._state_of(target)
-            if state is not None and state.is_primary and state.term > previous_term:
-                return True
+            if state is not None and state.is_primary:
+                if state.term > previous_term:
+                    self._log_choice(target, "took over after this switch's order")
+                    return True
+                # The platform accepts an order for the newest primary without effect.
+                is_effective = now_s() - self._last_order_s > ORDER_EFFECT_S
+                if was_leading and answer is PromoteAnswer.ACCEPTED and is_effective:
+                    self._log_choice(target, "the platform knows no later primary")
+                    return True
             await sleep_s(POLL_INTERVAL_S)
         return False
 
@@ -492,14 +510,17 @@
 
     def _log_choice(self, primary: str, evidence: str) -> None:
         """Log which target becomes primary, and what is known of a target ordered before."""
-        asked = {*self._request.candidates, self._request.old_primary} - {""}
+        last = self._ordered
+        request = self._request
+        asked = {*request.candidates, request.old_primary, last.target or ""} - {""}
         self._log(
             "primary_chosen",
             primary=primary,
             evidence=evidence,
-            ordered=self._ordered,
-            ordered_by=self._ordered_by,
-            ordered_answered=self._ordered in self._states,
+            ordered=last.target,
+            ordered_by=last.host,
+            term_before=last.term_before,
+            ordered_answered=last.target in self._states,
             states={name: self._describe(name) for name in sorted(asked)},
         )
 
--- a/tests/entry/test_membership_changes.py
+++ b/tests/entry/test_membership_changes.py
@@ -7,7 +7,7 @@
 
 import pytest
 from entry.test_host import Site
-from fleet.test_switching import FakeGroup, OtherHosts
+from fleet.switch_support import FakeGroup, OtherHosts
 
 from pistachiowinch.base.clock import now_s
 from pistachiowinch.base.decisions import DecisionLog
--- a/tests/entry/test_random_membership.py
+++ b/tests/entry/test_random_membership.py
@@ -9,7 +9,7 @@
 
 import pytest
 from entry.test_membership_changes import FORMED_S, ChangingSite, Orders
-from fleet.test_switching import PROMOTE_S
+from fleet.switch_support import PROMOTE_S
 from sessions.fake_group import FakeTarget
 
 from pistachiowinch.fleet.voter_set import VOTER_TRANSITION_S
@@ -41,8 +41,10 @@
         """The target that was promoted last."""
         return max(self.states, key=lambda name: (self.states[name].is_primary, name))
 
-    def _become_primary(self, target: str) -> None:
-        term = max(state.term for state in self.states.values()) + 1
+    def become_primary(self, target: str) -> None:
+        """Promote a target at once; the other targets follow it."""
+        super().become_primary(target)
+        term = self.newest_term
         for name in self.states:
             self.states[name] = TargetState(name == target, term, Position(term, 9))
         self.on_promotion()
--- a/tests/fleet/test_switching.py
+++ b/tests/fleet/test_switching.py
@@ -5,145 +5,26 @@
 
 import pytest
 from fleet.store_support import put
+from fleet.switch_support import World
 
 from pistachiowinch.base.clock import now_s
-from pistachiowinch.base.decisions import DecisionLog
-from pistachiowinch.fleet.messages import DrainAnswer
-from pistachiowinch.fleet.primaries import PrimaryTable
 from pistachiowinch.fleet.primary_lease import PRIMARY_LEASE_S
-from pistachiowinch.fleet.promotion_lock import PromotionLock
-from pistachiowinch.fleet.records import PrimaryRecord, decode_record, encode_record, group_key
+from pistachiowinch.fleet.records import PrimaryRecord, encode_record, group_key
 from pistachiowinch.fleet.switching import (
     ORDER_EFFECT_S,
     STATE_TIMEOUT_S,
     PrimarySwitch,
     PromoteAnswer,
-    SwitchContext,
     SwitchRequest,
 )
-from pistachiowinch.links.peers import PeerUnreachable
 from pistachiowinch.links.statements import Position, TargetState
 from pistachiowinch.links.store import StoreReplyLost
-from pistachiowinch.standins.memory_store import MemoryStore
 
 pytestmark = pytest.mark.looptime
 
-PROMOTE_S = 0.3
 CRASH_REQUEST = SwitchRequest("s", "test", False, "a", ("b", "c"))
 
 
-class OtherHosts:
-    """Fake of the peer link to the other hosts.
-
-    :ivar silent: hosts that do not answer.
-    :ivar busy_until_s: loop time until which a host has work in progress at the old primary.
-    :ivar drained: hosts that have answered that they are idle.
-    """
-
-    def __init__(self, names: str) -> None:
-        """Create hosts that answer at once."""
-        self.names = names
-        self.silent: set[str] = set()
-        self.busy_until_s: dict[str, float] = {}
-        self.drained: list[str] = []
-        self.notices: list[str] = []
-
-    async def request(self, host, message, timeout_s):
-        """Answer a drain request."""
-        if host in self.silent:
-            await asyncio.sleep(timeout_s)
-            raise PeerUnreachable(host)
-        await asyncio.sleep(0.001)
-        is_idle = now_s() >= self.busy_until_s.get(host, 0.0)
-        if is_idle:
-            self.drained.append(host)
-        return DrainAnswer(is_idle)
-
-    async def send(self, host, message):
-        """Record a notice of the new primary."""
-        self.notices.append(host)
-
-
-class FakeGroup:
-    """Fake of the targets and of the platform's interface for orders."""
-
-    def __init__(self, hosts: OtherHosts) -> None:
-        """Create a primary that does not answer and two replicas."""
-        self.hosts = hosts
-        self.states = {
-            "b": TargetState(False, 1, Position(1, 7)),
-            "c": TargetState(False, 1, Position(1, 9)),
-        }
-        self.not_running: set[str] = set()
-        self.promotions: list[tuple[str, int, float, int]] = []
-        self.demoted: list[str] = []
-
-    async def promote(self, service, target, holder, fencing_token):
-        """Accept an order unless the target is not running."""
-        self.promotions.append((target, fencing_token, now_s(), len(self.hosts.drained)))
-        if target in self.not_running:
-            return PromoteAnswer.NOT_RUNNING
-        asyncio.get_running_loop().call_later(PROMOTE_S, self._become_primary, target)
-        return PromoteAnswer.ACCEPTED
-
-    def _become_primary(self, target: str) -> None:
-        term = max(state.term for state in self.states.values()) + 1
-        self.states[target] = self.states[target]._replace(is_primary=True, term=term)
-
-    async def state(self, service, target, timeout_s):
-        """Return a target's state."""
-        if target not in self.states:
-            await asyncio.sleep(timeout_s)
-            return None
-        await asyncio.sleep(0.001)
-        return self.states[target]
-
-    async def demote(self, service, target, term, timeout_s):
-        """Record the demotion of a target."""
-        self.demoted.append(target)
-
-
-class World:
-    """A promoter ``p`` with fakes of its dependencies."""
-
-    def __init__(self, others: str = "qrst") -> None:
-        """Create a site of five hosts."""
-        self.store = MemoryStore()
-        self.hosts = OtherHosts(others)
-        self.group = FakeGroup(self.hosts)
-        log = DecisionLog("test")
-        self.table = PrimaryTable(log)
-        self.table.set_registry_primary("s", "a")
-        self.drained: list[float] = []
-        self.revision_lead = 0
-        self.refreshed_s: list[float] = []
-        self.context = SwitchContext(
-            host="p",
-            store=self.store,
-            promotion_lock=PromotionLock(self.store, "p", 1, log),
-            orders=self.group,
-            table=self.table,
-            link=self.hosts,
-            members=lambda: frozenset("p" + others),
-            members_revision=lambda: self.store.revision + self.revision_lead,
-            refresh_members=self._refresh_members,
-            voter_groups=lambda: (frozenset("p" + others),),
-            drain=self._drain,
-            log=log,
-        )
-
-    async def _drain(self, service: str, grace_s: float) -> bool:
-        self.drained.append(grace_s)
-        return True
-
-    def _refresh_members(self) -> None:
-        self.refreshed_s.append(now_s())
-
-    def recorded(self) -> PrimaryRecord:
-        """Return the store's record."""
-        return decode_record(self.store.apply_get(group_key("s")), PrimaryRecord)
-
-
 async def test_the_longest_log_is_promoted_after_all_hosts_have_drained():
     """ONE: the order may be sent only after every host has stopped using the old primary."""
     world = World()
@@ -317,7 +198,7 @@
     world.table.adopt("s", PrimaryRecord(1, ""), "store")
     put(world.store, group_key("s"), encode_record(PrimaryRecord(1, "")))
     world.group.states["a"] = TargetState(True, 1, Position(1, 12))
-    asyncio.get_running_loop().call_later(ORDER_EFFECT_S - 0.3, world.group._become_primary, "c")
+    asyncio.get_running_loop().call_later(ORDER_EFFECT_S - 0.3, world.group.become_primary, "c")
     request = SwitchRequest("s", "unfinished", False, "", ("a", "b", "c"))
     assert await PrimarySwitch(world.context, request).run()
     assert world.recorded() == PrimaryRecord(2, "c")
@@ -400,7 +281,7 @@
 
     world.group.promote = record_then_promote
     assert await PrimarySwitch(world.context, CRASH_REQUEST).run()
-    assert recorded == [PrimaryRecord(1, "", "c", "p")]
+    assert recorded == [PrimaryRecord(1, "", "c", "p", 1)]
 
 
 async def test_a_lost_answer_to_the_record_of_an_order_does_not_end_the_switch():
@@ -438,3 +319,86 @@
     put(world.store, group_key("s"), encode_record(PrimaryRecord(1, "a", "")))
     assert await PrimarySwitch(world.context, CONTINUED_REQUEST).run()
     assert now_s() >= ORDER_EFFECT_S
+
+
+async def test_an_old_primary_is_not_taken_back_while_the_ordered_target_is_silent():
+    """ONE, review/6: the promoter and the target that it had promoted were cut off together."""
+    world = interrupted("c")
+    world.group.become_primary("c")
+    world.group.unreachable = {"c"}
+    assert await PrimarySwitch(world.context, CONTINUED_REQUEST).run()
+    assert world.recorded().primary == world.group.newest_primary != "c"
+
+
+async def test_an_old_primary_is_not_taken_back_after_an_order_of_the_same_switch():
+    """ONE: the only candidate is promoted and cut off; the old primary returns."""
+    world = World()
+    del world.group.states["b"]
+    world.group.states["a"] = TargetState(True, 1, Position(1, 9))
+    promote = world.group.promote
+
+    async def promote_and_cut_off(service, target, *order):
+        if target == "c":
+            world.group.unreachable = {"c"}
+        return await promote(service, target, *order)
+
+    world.group.promote = promote_and_cut_off
+    assert await PrimarySwitch(world.context, CRASH_REQUEST).run()
+    assert world.recorded().primary == world.group.newest_primary == "a"
+
+
+async def test_an_old_primary_is_not_taken_back_if_an_unknown_order_may_have_taken_effect():
+    """ONE: a restored store has lost the record of an order, and one target is silent."""
+    world = interrupted("c")
+    put(world.store, group_key("s"), encode_record(PrimaryRecord(1, "", None)))
+    world.group.become_primary("c")
+    world.group.unreachable = {"c"}
+    assert await PrimarySwitch(world.context, CONTINUED_REQUEST).run()
+    assert world.recorded().primary == world.group.newest_primary != "c"
+
+
+async def test_the_old_primary_is_used_if_the_silent_target_was_never_promoted():
+    """RECOVER: the platform accepts an order for the newest primary, whose term then stays."""
+    world = interrupted("c")
+    world.group.states["a"] = TargetState(True, 1, Position(1, 12))
+    world.group.unreachable = {"c"}
+    assert await PrimarySwitch(world.context, CONTINUED_REQUEST).run()
+    assert world.recorded().primary == world.group.newest_primary == "a"
+
+
+async def test_an_order_without_effect_does_not_clear_an_earlier_one():
+    """ONE: the second order of two was not executed, and its target answers."""
+    world = interrupted("c")
+    record = PrimaryRecord(1, "", "b", "q", 1, ("c",))
+    put(world.store, group_key("s"), encode_record(record))
+    world.group.become_primary("c")
+    world.group.unreachable = {"c"}
+    assert await PrimarySwitch(world.context, CONTINUED_REQUEST).run()
+    assert world.recorded().primary == world.group.newest_primary != "c"
+
+
+async def test_an_unanswered_order_for_the_old_primary_proves_nothing():
+    """ONE: the platform did not answer whether it knows a later primary."""
+    world = interrupted("c")
+    world.group.states["a"] = TargetState(True, 1, Position(1, 12))
+    world.group.become_primary("c")
+    world.group.unreachable = {"c"}
+
+    async def no_answer(service, target, *order):
+        return PromoteAnswer.UNAVAILABLE
+
+    world.group.promote = no_answer
+    assert not await PrimarySwitch(world.context, CONTINUED_REQUEST).run()
+    assert world.recorded().primary == ""
+
+
+async def test_an_ordered_target_that_has_taken_over_needs_no_other_order():
+    """RECOVER: the successor of a promoter that died after the promotion serves at once."""
+    world = interrupted("c")
+    record = PrimaryRecord(1, "", "c", "q", 1)
+    put(world.store, group_key("s"), encode_record(record))
+    world.group.become_primary("c")
+    assert await PrimarySwitch(world.context, CONTINUED_REQUEST).run()
+    assert world.recorded().primary == "c"
+    assert not world.group.promotions
+    assert now_s() < 0.2
