--- a/libs/fleet/src/pistachiowinch/fleet/switching.py
+++ b/libs/fleet/src/pistachiowinch/fleet/switching.py
@@ -3,7 +3,8 @@
 The holder of the promotion lock records the start of the switch in the store. Then all hosts stop
 using the old primary: each host acknowledges, or its primary lease expires. Only after that a
 replica is promoted, so that no host can read from the old primary or acknowledge a write by it once
-the new primary accepts work.
+the new primary accepts work. No host uses the new primary before the store has its record: if the
+promoter is lost, whoever continues the switch knows whether work may have been acknowledged there.
 """
 
 import asyncio
@@ -59,7 +60,7 @@
 POLL_INTERVAL_S = 0.05
 # Hosts answer a drain request in a few milliseconds.
 DRAIN_CHECK_INTERVAL_S = 0.01
-# While the store is unavailable, heartbeats carry the outcome.
+# The service has no primary until the outcome is in the store.
 STORE_RETRY_DELAY_S = 0.2
 # A promotion and its order take up to 1 s each; after this time the next candidate is tried.
 PROMOTION_TIMEOUT_S = 2.5
@@ -195,7 +196,8 @@
         if primary is None:
             self._log("switch_given_up", cause="no target took over")
             return False
-        await self._publish(primary)
+        if not await self._publish(primary):
+            return False
         await self._demote_old(primary)
         return True
 
@@ -473,34 +475,48 @@
             await sleep_s(POLL_INTERVAL_S)
         return False
 
-    async def _publish(self, primary: str) -> None:
+    async def _publish(self, primary: str) -> bool:
+        """Record the new primary in the store, and then use and announce it.
+
+        A host that continues this switch finds the record, or can rely on the fact that nobody has
+        used the new primary.
+
+        :returns: false if another host has continued the switch.
+        """
         service = self._request.service
         record = PrimaryRecord(self._epoch, primary)
+        if not await self._record_outcome(record):
+            return False
         self._context.table.adopt(service, record, "own switch")
         took_s = round(now_s() - self._started_s, 3)
         self._log("switch_done", primary=primary, took_s=took_s)
         notice = PrimaryNotice(service, self._epoch, primary)
         for host in self._context.members() - {self._context.host}:
             await self._context.link.send(host, notice)
-        await self._record_outcome(record)
+        return True
+
+    async def _record_outcome(self, record: PrimaryRecord) -> bool:
+        """Write the outcome to the store, and retry while the store is unavailable.
 
-    async def _record_outcome(self, record: PrimaryRecord) -> None:
-        """Write the outcome to the store, and retry while the store is unavailable."""
+        :returns: false if another host has changed the record.
+        """
         key = group_key(self._request.service)
         while True:
             try:
                 reply = await self._context.store.transact(
                     [Compare(key, self._revision)], [Put(key, encode_record(record))]
                 )
+                # The answer to an earlier attempt may have been lost.
+                current = None if reply.succeeded else await self._context.store.get(key)
             except StoreError as error:
                 self._log("outcome_not_recorded", cause=str(error)[:80])
                 await sleep_s(STORE_RETRY_DELAY_S)
                 continue
-            if reply.succeeded:
-                self._log("outcome_recorded", primary=record.primary, revision=reply.revision)
-            else:
-                self._log("outcome_not_recorded", cause="the record has changed")
-            return
+            if reply.succeeded or self._decode_recorded(current) == record:
+                self._log("outcome_recorded", primary=record.primary)
+                return True
+            self._log("outcome_not_recorded", cause="the record has changed")
+            return False
 
     async def _demote_old(self, primary: str) -> None:
         old = self._request.old_primary
--- a/tests/fleet/test_switching.py
+++ b/tests/fleet/test_switching.py
@@ -402,3 +402,43 @@
     assert world.recorded().primary == "c"
     assert not world.group.promotions
     assert now_s() < 0.2
+
+
+async def test_a_new_primary_is_not_used_before_its_record_is_in_the_store():
+    """LOST, review/6: hosts beside a promoter that was cut off wrote to a primary that only they
+    knew; the host that continued the switch chose another one.
+    """
+    world = World()
+    promote = world.group.promote
+
+    async def promote_and_lose_store(*order):
+        world.store.faults.is_down = True
+        return await promote(*order)
+
+    world.group.promote = promote_and_lose_store
+    switch = asyncio.ensure_future(PrimarySwitch(world.context, CRASH_REQUEST).run())
+    await asyncio.sleep(5.0)
+    assert world.group.newest_primary == "c"
+    assert world.table.primary("s") == ""
+    assert not world.hosts.notices
+    world.store.faults.is_down = False
+    assert await switch
+    assert world.recorded() == PrimaryRecord(1, "c")
+    assert world.table.primary("s") == "c"
+
+
+async def test_an_outcome_is_dropped_if_another_host_has_continued_the_switch():
+    """ONE: the outcome of a promoter that was cut off came after its successor's switch."""
+    world = World()
+    promote = world.group.promote
+    successor = encode_record(PrimaryRecord(2, "", "c", "p", 1))
+
+    async def promote_and_lose_lock(*order):
+        put(world.store, group_key("s"), successor)
+        return await promote(*order)
+
+    world.group.promote = promote_and_lose_lock
+    assert not await PrimarySwitch(world.context, CRASH_REQUEST).run()
+    assert world.table.primary("s") == ""
+    assert not world.hosts.notices
+    assert world.recorded().epoch == 2
