--- a/libs/fleet/src/pistachiowinch/fleet/promotion_choice.py
+++ b/libs/fleet/src/pistachiowinch/fleet/promotion_choice.py
@@ -4,9 +4,9 @@
 the old primary returns. The host that continues the switch reaches the old primary, which does not
 know of its successor, and cannot reach the target that was ordered.
 
-That a target does not answer says nothing about its promotion. Unless the target that was ordered
-last is seen, a continued switch therefore orders a promotion of its own. It begins a later term,
-and the platform accepts it without effect only if the target is the newest primary.
+That a target does not answer says nothing about its promotion. If the newest primary may be silent,
+a switch therefore orders a promotion of its own. It begins a later term, and the platform accepts
+it without effect only if the target is the newest primary.
 """
 
 from collections.abc import Collection, Mapping
@@ -16,7 +16,6 @@
 from pistachiowinch.links.statements import TargetState
 
 __all__ = [
-    "NO_ORDERS",
     "Choice",
     "OrderTarget",
     "PromotionOrders",
@@ -36,24 +35,21 @@
     :param target: the target that was ordered last; empty if none was ordered, None if unknown.
     :param host: host that gave the last order.
     :param term_before: highest term that any target reported before the order; None if unknown.
-    :param earlier: targets that were ordered before, one of which leads if the last order was not
-        executed; None if unknown.
+    :param possible_primaries: targets of which one leads unless the last order was executed: the
+        primary that is replaced, and targets that were ordered before. None if unknown.
     """
 
     target: str | None
     host: str = ""
     term_before: int | None = None
-    earlier: tuple[str, ...] | None = ()
+    possible_primaries: tuple[str, ...] | None = ()
 
     def followed_by(self, target: str, host: str, term_before: int) -> "PromotionOrders":
         """Return the record of the next order."""
-        if self.target is None or self.earlier is None:
+        if self.target is None or self.possible_primaries is None:
             return PromotionOrders(target, host, term_before, None)
-        earlier = {self.target, *self.earlier} - {"", target}
-        return PromotionOrders(target, host, term_before, tuple(sorted(earlier)))
-
-
-NO_ORDERS = PromotionOrders("")
+        possible = {self.target, *self.possible_primaries} - {"", target}
+        return PromotionOrders(target, host, term_before, tuple(sorted(possible)))
 
 
 class SwitchProgress(NamedTuple):
@@ -119,16 +115,16 @@
         return UseTarget(str(last.target), "took over after the last order")
     if last.target and _is_resumable(progress, last.target):
         return OrderTarget(last.target, "the last order is repeated")
-    if _may_be_in_effect(progress):
-        return _choose_without_ordered(progress)
+    if _may_newest_be_silent(progress):
+        return _choose_without_newest(progress)
     leader = _leader(progress.states, progress.candidates)
     if leader is not None:
-        return UseTarget(leader, "leads the highest term, and no other target was promoted")
+        return UseTarget(leader, "leads the highest term, and no silent target can be newer")
     best = best_candidate(progress)
     if best is not None:
         return OrderTarget(best, "has the longest log")
     if _leader(progress.states, (progress.old_primary,)) is not None:
-        return UseTarget(progress.old_primary, "still leads, and no other target was promoted")
+        return UseTarget(progress.old_primary, "still leads, and no silent target can be newer")
     return WaitForTargets()
 
 
@@ -154,9 +150,9 @@
     return max(usable, key=lambda entry: (entry[1].received, not entry[1].is_primary))[0]
 
 
-def _choose_without_ordered(progress: SwitchProgress) -> Choice:
+def _choose_without_newest(progress: SwitchProgress) -> Choice:
     """Choose although a target that does not answer may be the newest primary."""
-    if not progress.is_settled:
+    if _is_order_pending(progress):
         # Two orders for different targets may take effect in either order.
         return WaitForOrder()
     best = best_candidate(progress)
@@ -164,7 +160,7 @@
         best = progress.old_primary
     if best is None:
         return WaitForTargets()
-    return OrderTarget(best, "a target that was ordered before may be primary and does not answer")
+    return OrderTarget(best, "has the longest log; a target that does not answer may be primary")
 
 
 def _has_taken_over(progress: SwitchProgress) -> bool:
@@ -191,14 +187,19 @@
     return state.is_primary or state.received == progress.states[best].received
 
 
-def _may_be_in_effect(progress: SwitchProgress) -> bool:
-    """Return whether a target that nobody has seen promoted may be the newest primary."""
-    last = progress.orders
-    if last.target == "":
-        return False
-    is_unknown = last.target is None or last.earlier is None
-    possible = progress.targets if is_unknown else (last.target, *last.earlier)
-    return not progress.is_settled or any(name not in progress.states for name in possible)
+def _is_order_pending(progress: SwitchProgress) -> bool:
+    """Return whether the last order may take effect later."""
+    return progress.orders.target != "" and not progress.is_settled
+
+
+def _may_newest_be_silent(progress: SwitchProgress) -> bool:
+    """Return whether the newest primary may be a target that has not been seen to lead."""
+    orders = progress.orders
+    if orders.target is None or orders.possible_primaries is None:
+        possible = set(progress.targets)
+    else:
+        possible = {orders.target, *orders.possible_primaries} - {""}
+    return _is_order_pending(progress) or not possible <= progress.states.keys()
 
 
 def _leader(states: Mapping[str, TargetState], names: Collection[str]) -> str | None:
--- a/libs/fleet/src/pistachiowinch/fleet/records.py
+++ b/libs/fleet/src/pistachiowinch/fleet/records.py
@@ -86,8 +86,8 @@
     :param ordered_by: host that gave this order.
     :param term_before: highest term that any target reported before this order; the ordered target
         has taken over when it is primary of a later one. None if unknown.
-    :param ordered_before: targets that switches since the last recorded primary had ordered before;
-        None if unknown.
+    :param possible_primaries: targets of which one leads unless the last order was executed; None
+        if unknown.
     """
 
     epoch: int
@@ -95,7 +95,7 @@
     ordered: str | None = None
     ordered_by: str = ""
     term_before: int | None = None
-    ordered_before: tuple[str, ...] | None = ()
+    possible_primaries: tuple[str, ...] | None = ()
 
 
 class VoterSetRecord(msgspec.Struct, frozen=True):
--- a/libs/fleet/src/pistachiowinch/fleet/switching.py
+++ b/libs/fleet/src/pistachiowinch/fleet/switching.py
@@ -19,7 +19,6 @@
 from pistachiowinch.fleet.primaries import PrimaryTable
 from pistachiowinch.fleet.primary_lease import PRIMARY_LEASE_S, includes_majority
 from pistachiowinch.fleet.promotion_choice import (
-    NO_ORDERS,
     OrderTarget,
     PromotionOrders,
     SwitchProgress,
@@ -149,7 +148,7 @@
 
 def _orders_of(record: PrimaryRecord) -> PromotionOrders:
     return PromotionOrders(
-        record.ordered, record.ordered_by, record.term_before, record.ordered_before
+        record.ordered, record.ordered_by, record.term_before, record.possible_primaries
     )
 
 
@@ -167,7 +166,7 @@
         self._epoch = 0
         self._revision = 0
         self._begun_revision = 0
-        self._ordered = NO_ORDERS
+        self._ordered = PromotionOrders("")
         self._last_order_s = now_s()
         self._asks_old_primary = False
         self._started_s = now_s()
@@ -217,6 +216,9 @@
                 # A restored store may have lost the record of an order.
                 is_lost = recorded.epoch < known_epoch
                 self._ordered = PromotionOrders(None) if is_lost else _orders_of(recorded)
+            else:
+                replaced = (self._request.old_primary,)
+                self._ordered = PromotionOrders("", possible_primaries=replaced)
             record = self._ongoing_record(self._ordered)
             reply = await self._context.store.transact(
                 [
@@ -402,15 +404,15 @@
     async def _read_states(self, failed: set[str]) -> None:
         """Query the targets that may become or be primary.
 
-        The old primary is one if it works, or if the candidates failed.
+        A failed old primary is asked only if the candidates do not suffice.
         """
-        orders = self._ordered
-        names = {*self._request.candidates, orders.target or "", *(orders.earlier or ())}
-        if orders.target is None or orders.earlier is None:
-            names |= set(self._request.targets)
-        if self._request.is_planned or failed or self._asks_old_primary:
-            names.add(self._request.old_primary)
-        names.discard("")
+        orders, request = self._ordered, self._request
+        names = {orders.target or "", *(orders.possible_primaries or ())}
+        if orders.target is None or orders.possible_primaries is None:
+            names |= set(request.targets)
+        if not (request.is_planned or failed or self._asks_old_primary):
+            names.discard(request.old_primary)
+        names = {*names, *request.candidates} - {""}
         requests = [self._state_of(name) for name in sorted(names)]
         replies = await asyncio.gather(*requests)
         self._states = {name: state for name, state in replies if state is not None}
--- a/tests/fleet/test_promotion_choice.py
+++ b/tests/fleet/test_promotion_choice.py
@@ -3,7 +3,6 @@
 import pytest
 
 from pistachiowinch.fleet.promotion_choice import (
-    NO_ORDERS,
     OrderTarget,
     PromotionOrders,
     SwitchProgress,
@@ -18,6 +17,7 @@
 REPLICA = TargetState(False, 1, Position(1, 9))
 SHORT = TargetState(False, 1, Position(1, 7))
 PROMOTED = TargetState(True, 2, Position(1, 9))
+NO_ORDERS = PromotionOrders("", possible_primaries=("a",))
 ORDERED_C = PromotionOrders("c", "q", 1)
 
 
@@ -57,7 +57,7 @@
     """RECOVER: orders that reached nobody must not cost another promotion."""
     orders = PromotionOrders("b", "q", 1, ("c",))
     choice = choose_primary(progress(orders, a=OLD, b=SHORT, c=SHORT))
-    assert choice == UseTarget("a", "leads the highest term, and no other target was promoted")
+    assert choice == UseTarget("a", "leads the highest term, and no silent target can be newer")
 
 
 @pytest.mark.parametrize("orders", [PromotionOrders(None), PromotionOrders("b", "q", 1, None)])
@@ -74,6 +74,12 @@
     assert choice.target == "a"
 
 
+def test_an_older_primary_is_not_used_while_the_replaced_one_is_silent():
+    """ONE, found by the model: a primary of an earlier term had not heard of its successor."""
+    orders = PromotionOrders("", possible_primaries=("c",))
+    assert isinstance(choose_primary(progress(orders, a=OLD, b=REPLICA)), OrderTarget)
+
+
 def test_without_any_answer_nothing_is_chosen():
     """ONE: two silent targets leave nothing to order."""
     assert choose_primary(progress()) == WaitForTargets()
@@ -82,6 +88,6 @@
 def test_orders_accumulate_until_a_primary_is_recorded():
     """ONE: a later order must not hide an earlier one that took effect."""
     orders = NO_ORDERS.followed_by("b", "p", 1).followed_by("c", "q", 2)
-    assert orders == PromotionOrders("c", "q", 2, ("b",))
-    assert orders.followed_by("b", "r", 3).earlier == ("c",)
-    assert PromotionOrders(None).followed_by("b", "r", 3).earlier is None
+    assert orders == PromotionOrders("c", "q", 2, ("a", "b"))
+    assert orders.followed_by("b", "r", 3).possible_primaries == ("a", "c")
+    assert PromotionOrders(None).followed_by("b", "r", 3).possible_primaries is None
--- a/tests/fleet/test_switching.py
+++ b/tests/fleet/test_switching.py
@@ -281,7 +281,7 @@
 
     world.group.promote = record_then_promote
     assert await PrimarySwitch(world.context, CRASH_REQUEST).run()
-    assert recorded == [PrimaryRecord(1, "", "c", "p", 1)]
+    assert recorded == [PrimaryRecord(1, "", "c", "p", 1, ("a",))]
 
 
 async def test_a_lost_answer_to_the_record_of_an_order_does_not_end_the_switch():
@@ -357,6 +357,21 @@
     assert world.recorded().primary == world.group.newest_primary != "c"
 
 
+async def test_an_older_primary_is_not_used_while_the_replaced_one_is_silent():
+    """ONE, found by the model: a target that was replaced by the present primary, and has not heard
+    of it, answers when that one falls silent.
+    """
+    world = interrupted("c")
+    record = PrimaryRecord(2, "c")
+    world.table.adopt("s", record, "store")
+    put(world.store, group_key("s"), encode_record(record))
+    world.group.become_primary("c")
+    world.group.unreachable = {"b", "c"}
+    request = SwitchRequest("s", "test", False, "c", ("a", "b"))
+    assert await PrimarySwitch(world.context, request).run()
+    assert world.recorded().primary == world.group.newest_primary == "a"
+
+
 async def test_the_old_primary_is_used_if_the_silent_target_was_never_promoted():
     """RECOVER: the platform accepts an order for the newest primary, whose term then stays."""
     world = interrupted("c")
--- a/tests/model/test_checker.py
+++ b/tests/model/test_checker.py
@@ -15,6 +15,7 @@
 from pistachiowinch.model.membership import MembershipGuard, MembershipSpecification
 from pistachiowinch.model.promotion import PromotionGuard, PromotionSpecification
 from pistachiowinch.model.restoration import RestorationGuard, RestorationSpecification
+from pistachiowinch.model.succession import SuccessionGuard, SuccessionSpecification
 from pistachiowinch.model.switchover import SwitchoverGuard, SwitchoverSpecification
 from pistachiowinch.model.usage_reports import UsageReportGuard, UsageReportSpecification
 from pistachiowinch.model.voter_set import VoterSetGuard, VoterSetSpecification
@@ -35,6 +36,7 @@
     _Case(RestorationSpecification(), 16),
     _Case(UsageReportSpecification(), 17),
     _Case(CurrencySpecification(), 15),
+    _Case(SuccessionSpecification(), 17),
 ]
 
 # Depths within which a violation exists; the number of terms is reduced where two suffice.
@@ -61,6 +63,7 @@
     *(_Case(RestorationSpecification(guard), 14) for guard in RestorationGuard),
     *(_Case(UsageReportSpecification(guard), 16) for guard in UsageReportGuard),
     *(_Case(CurrencySpecification(guard), 14) for guard in CurrencyGuard),
+    *(_Case(SuccessionSpecification(guard), 12) for guard in SuccessionGuard),
 ]
 
 
