--- a/libs/fleet/src/pistachiowinch/fleet/switching.py
+++ b/libs/fleet/src/pistachiowinch/fleet/switching.py
@@ -210,6 +210,11 @@
         try:
             current = await self._context.store.get(key)
             recorded = self._decode_recorded(current)
+            if recorded.epoch > 0:
+                self._context.table.adopt(service, recorded, "store")
+            if self._context.table.primary(service) != self._request.old_primary:
+                self._log("switch_not_begun", cause="the primary has changed")
+                return False
             known_epoch = self._context.table.epoch(service)
             self._epoch = max(recorded.epoch, known_epoch) + 1
             if self._is_continued:
--- a/tests/fleet/test_switching.py
+++ b/tests/fleet/test_switching.py
@@ -457,3 +457,25 @@
     assert world.table.primary("s") == ""
     assert not world.hosts.notices
     assert world.recorded().epoch == 2
+
+
+async def test_a_switch_is_not_begun_on_an_outdated_view():
+    """ONE: a host that has not read of another host's order must not forget it."""
+    world = World()
+    record = PrimaryRecord(1, "", "b", "q", 1, ("a",))
+    put(world.store, group_key("s"), encode_record(record))
+    assert not await PrimarySwitch(world.context, CRASH_REQUEST).run()
+    assert world.recorded() == record
+    assert world.table.epoch("s") == 1
+    assert not world.group.promotions
+
+
+async def test_a_switch_that_another_host_has_ended_is_not_continued():
+    """ONE: the recorded primary is silent, and an older one still claims to lead."""
+    world = interrupted("c")
+    put(world.store, group_key("s"), encode_record(PrimaryRecord(1, "c")))
+    world.group.become_primary("c")
+    world.group.unreachable = {"b", "c"}
+    assert not await PrimarySwitch(world.context, CONTINUED_REQUEST).run()
+    assert world.table.primary("s") == "c"
+    assert not world.group.promotions
