--- a/tests/fleet/switch_support.py
+++ b/tests/fleet/switch_support.py
@@ -56,7 +56,6 @@
     :ivar unreachable: targets that run and do not answer.
     :ivar newest_primary: target whose promotion took effect last.
     :ivar newest_term: term of that target.
-    :ivar pending: promotions that have not taken effect yet.
     """
 
     def __init__(self, hosts: OtherHosts) -> None:
@@ -65,7 +64,6 @@
         self.unreachable: set[str] = set()
         self.newest_primary = "a"
         self.newest_term = 1
-        self.pending = 0
         self.states = {
             "b": TargetState(False, 1, Position(1, 7)),
             "c": TargetState(False, 1, Position(1, 9)),
@@ -83,14 +81,9 @@
         if target in self.not_running:
             return PromoteAnswer.NOT_RUNNING
         if target != self.newest_primary:
-            self.pending += 1
-            asyncio.get_running_loop().call_later(PROMOTE_S, self._complete, target)
+            asyncio.get_running_loop().call_later(PROMOTE_S, self.become_primary, target)
         return PromoteAnswer.ACCEPTED
 
-    def _complete(self, target: str) -> None:
-        self.pending -= 1
-        self.become_primary(target)
-
     def become_primary(self, target: str) -> None:
         """Let a promotion take effect; other targets do not notice it."""
         if target == self.newest_primary:
