--- a/libs/entry/src/pistachiowinch/entry/host.py
+++ b/libs/entry/src/pistachiowinch/entry/host.py
@@ -563,6 +563,8 @@
 
     async def _on_drain_request(self, sender: str, request: DrainRequest) -> DrainAnswer:
         self._primaries.adopt(request.service, PrimaryRecord(request.epoch, ""), sender)
+        if self._primaries.epoch(request.service) > request.epoch:
+            return DrainAnswer(False)
         return DrainAnswer(await self._drain(request.service, request.grace_ms / 1000.0))
 
     def _host_lease_s(self) -> float:
--- a/libs/fleet/src/pistachiowinch/fleet/messages.py
+++ b/libs/fleet/src/pistachiowinch/fleet/messages.py
@@ -25,7 +25,10 @@
 
 
 class DrainAnswer(msgspec.Struct, tag="ga", array_like=True, frozen=True):
-    """States whether the host has no work left in progress at the primary."""
+    """States whether the host has no work left in progress at the primary.
+
+    A host that knows a later switch answers false.
+    """
 
     is_idle: bool
 
--- a/libs/fleet/src/pistachiowinch/fleet/switching.py
+++ b/libs/fleet/src/pistachiowinch/fleet/switching.py
@@ -3,8 +3,8 @@
 The holder of the promotion lock records the start of the switch in the store. Then all hosts stop
 using the old primary: each host acknowledges, or its primary lease expires. Only after that a
 replica is promoted, so that no host can read from the old primary or acknowledge a write by it once
-the new primary accepts work. No host uses the new primary before the store has its record: if the
-promoter is lost, whoever continues the switch knows whether work may have been acknowledged there.
+the new primary accepts work. No host uses the new primary before the store has its record, or a
+majority of the voters has confirmed that it knows no later switch.
 """
 
 import asyncio
@@ -59,7 +59,9 @@
 POLL_INTERVAL_S = 0.05
 # Hosts answer a drain request in a few milliseconds.
 DRAIN_CHECK_INTERVAL_S = 0.01
-# The service has no primary until the outcome is in the store.
+# Several times what a healthy store needs; after this time a majority of the voters may confirm.
+OUTCOME_RECORD_TIMEOUT_S = 0.2
+# Bounds the rate of calls while the store is unavailable.
 STORE_RETRY_DELAY_S = 0.2
 # A promotion and its order take up to 1 s each; after this time the next candidate is tried.
 PROMOTION_TIMEOUT_S = 2.5
@@ -483,24 +485,54 @@
         return False
 
     async def _publish(self, primary: str) -> bool:
-        """Record the new primary in the store, and then use and announce it.
+        """Use and announce the new primary once the store or a majority confirms this switch.
 
-        A host that continues this switch finds the record, or can rely on the fact that nobody has
-        used the new primary.
+        A promoter that is cut off together with the new primary would let the hosts beside it use
+        that one, while another host continues the switch.
 
         :returns: false if another host has continued the switch.
         """
-        service = self._request.service
         record = PrimaryRecord(self._epoch, primary)
-        if not await self._record_outcome(record):
-            return False
+        recording = asyncio.ensure_future(self._record_outcome(record))
+        acknowledging = asyncio.ensure_future(self._wait_for_acknowledgement())
+        try:
+            done, _ = await asyncio.wait(
+                (recording, acknowledging), return_when=asyncio.FIRST_COMPLETED
+            )
+            if recording in done and not recording.result():
+                return False
+            await self._announce(record, "store" if recording in done else "majority")
+            return await recording
+        finally:
+            recording.cancel()
+            acknowledging.cancel()
+
+    async def _wait_for_acknowledgement(self) -> None:
+        """Wait until a majority of the voters confirms that it knows no later switch.
+
+        The store is given time to answer first.
+        """
+        await sleep_s(OUTCOME_RECORD_TIMEOUT_S)
+        others = self._context.members() - {self._context.host}
+        requests = {host: asyncio.ensure_future(self._drain_host(host, 0.0)) for host in others}
+        try:
+            while True:
+                confirming = {host for host, request in requests.items() if request.done()}
+                if self._has_majorities(frozenset({*confirming, self._context.host})):
+                    return
+                await sleep_s(DRAIN_CHECK_INTERVAL_S)
+        finally:
+            for request in requests.values():
+                request.cancel()
+
+    async def _announce(self, record: PrimaryRecord, confirmed_by: str) -> None:
+        service = self._request.service
         self._context.table.adopt(service, record, "own switch")
         took_s = round(now_s() - self._started_s, 3)
-        self._log("switch_done", primary=primary, took_s=took_s)
-        notice = PrimaryNotice(service, self._epoch, primary)
+        self._log("switch_done", primary=record.primary, took_s=took_s, confirmed_by=confirmed_by)
+        notice = PrimaryNotice(service, self._epoch, record.primary)
         for host in self._context.members() - {self._context.host}:
             await self._context.link.send(host, notice)
-        return True
 
     async def _record_outcome(self, record: PrimaryRecord) -> bool:
         """Write the outcome to the store, and retry while the store is unavailable.
