--- a/libs/base/src/pistachiowinch/base/identity.py
+++ b/libs/base/src/pistachiowinch/base/identity.py
@@ -12,7 +12,7 @@
     """One incarnation of an entry host.
 
     :param host: name from the settings, unique in its site.
-    :param incarnation: number from the store's counter, which increases with every start;
+    :param incarnation: number that identifies this run, random or from the store's counter;
         :data:`NO_INCARNATION` while unknown.
     :param availability_zone: zone from the settings.
     :param peer_url: address where peers reach this host, ``tcp://IP:PORT``.
--- a/libs/peering/src/pistachiowinch/peering/membership.py
+++ b/libs/peering/src/pistachiowinch/peering/membership.py
@@ -22,7 +22,7 @@
     ReceivedHeartbeat,
     ShortHeartbeat,
 )
-from pistachiowinch.peering.peer_record import PeerRecord
+from pistachiowinch.peering.peer_record import OTHER_RUN, PeerRecord
 
 __all__ = [
     "HEARTBEAT_INTERVAL_S",
@@ -118,6 +118,7 @@
         self._reply_only_hosts: frozenset[str] = frozenset()
         self._reconnect_timers: dict[str, _ReconnectTimer] = {}
         self._identity = identity
+        self._incarnations = [identity.incarnation]
         self._link = link
         self._local_state = local_state
         self._host_list = host_list
@@ -223,6 +224,7 @@
             # Echoes name the incarnation, so echoes of the earlier one are no longer valid.
             for record in self._records.values():
                 record.reset_sent()
+            self._incarnations.append(identity.incarnation)
         self._identity = identity
 
     async def run(self) -> None:
@@ -369,7 +371,6 @@
         elif self._accept(record, heartbeat):
             record.note_full(heartbeat)
             self._heartbeats.on_next(record.last)
-            self._reply(sender)
 
     def _receive_short(self, sender: str, short: ShortHeartbeat) -> None:
         record = self._records.get(sender)
@@ -380,14 +381,17 @@
         if heartbeat is None:
             # This host has lost the peer's content; its empty echo makes the peer send it in full.
             self._drop("unknown_content")
+            self._reply(sender)
         elif self._accept(record, heartbeat):
             self._heartbeats.on_next(record.last)
-            self._reply(sender)
 
     def _accept(self, record: PeerRecord, heartbeat: Heartbeat) -> bool:
-        reason = record.accept(heartbeat, self._identity.incarnation, now_s())
+        reason = record.accept(heartbeat, self._incarnations, now_s())
         if reason is not None:
             self._drop(reason)
+        if reason in (None, OTHER_RUN):
+            # Only the echo of the reply can prove that another run is the newest one.
+            self._reply(heartbeat.host)
         return reason is None
 
     def _drop(self, reason: str) -> None:
--- a/libs/peering/src/pistachiowinch/peering/peer_record.py
+++ b/libs/peering/src/pistachiowinch/peering/peer_record.py
@@ -1,13 +1,17 @@
 """State that this host keeps for each peer: sequence numbers, echoes and evidence."""
 
 from collections import OrderedDict
+from collections.abc import Collection
 
 import msgspec
 
 from pistachiowinch.base.identity import NO_INCARNATION
 from pistachiowinch.peering.messages import Heartbeat, ReceivedHeartbeat, ShortHeartbeat
 
-__all__ = ["PeerRecord"]
+__all__ = ["OTHER_RUN", "PeerRecord"]
+
+# Reason for dropping a heartbeat that does not prove that its run is the newest one of its host.
+OTHER_RUN = "old_incarnation"
 
 # Covers 12 s at five heartbeats a second, which is longer than evidence is used for.
 MAX_SEND_TIMES = 64
@@ -31,7 +35,6 @@
         self.last: ReceivedHeartbeat | None = None
         self.evidence_s: float | None = None
         self._newest_echo = 0
-        self._newest_incarnation = NO_INCARNATION
         self._sent_s: OrderedDict[int, float] = OrderedDict()
         self._sent_content: Heartbeat | None = None
         self._unchanged_since = 0
@@ -53,7 +56,6 @@
     def reset_sent(self) -> None:
         """Discard what was sent under another incarnation of this host."""
         self._sent_s.clear()
-        self._newest_echo = 0
         self._last_echo = 0
 
     def note_sent(self, sequence: int, now_s: float) -> None:
@@ -99,21 +101,26 @@
             store_age_ms=short.store_age_ms,
         )
 
-    def accept(self, heartbeat: Heartbeat, incarnation: int, now_s: float) -> str | None:
+    def accept(
+        self, heartbeat: Heartbeat, incarnations: Collection[int], now_s: float
+    ) -> str | None:
         """Accept a heartbeat if it is newer than the accepted ones.
 
         :param heartbeat: a heartbeat of this peer.
-        :param incarnation: this host's incarnation.
+        :param incarnations: the incarnations of this run of this host, the present one last. An
+            echo of an earlier one shows that the heartbeat is new, but is no evidence.
         :param now_s: loop time of arrival.
         :returns: the reason for dropping it, or None if it was accepted.
         """
-        echo = heartbeat.echo if heartbeat.echo_incarnation == incarnation else 0
+        echo = heartbeat.echo if heartbeat.echo_incarnation in incarnations else 0
         reason = self._reason_to_drop(heartbeat, echo)
+        if reason == OTHER_RUN:
+            # A new run lacks what earlier ones had accepted, and can echo only a full heartbeat.
+            self._last_echo = 0
         if reason is not None:
             return reason
-        evidence_s = self._sent_s.get(echo)
         self._newest_echo = max(self._newest_echo, echo)
-        self._newest_incarnation = max(self._newest_incarnation, heartbeat.incarnation)
+        evidence_s = self._sent_s.get(echo)
         if evidence_s is not None:
             self.evidence_s = max(evidence_s, self.evidence_s or evidence_s)
         # A missing or unknown echo shows that the peer restarted or removed this host meanwhile.
@@ -129,14 +136,12 @@
         if self.last is None:
             return None
         last = self.last.heartbeat
-        if heartbeat.incarnation == last.incarnation and heartbeat.sequence > last.sequence:
-            return None
-        if heartbeat.incarnation > self._newest_incarnation:
+        is_same_run = heartbeat.incarnation == last.incarnation
+        if is_same_run and heartbeat.sequence > last.sequence:
             return None
-        # A host that restarts while the store is down has no incarnation that identifies the new
-        # run. An echo newer than all earlier ones proves that this heartbeat is not a delayed one.
-        if heartbeat.incarnation == NO_INCARNATION and echo > self._newest_echo:
+        # The numbers of two runs have no order. An echo newer than all earlier ones proves that
+        # this heartbeat is not a delayed one of a run that has ended.
+        is_identified = is_same_run and heartbeat.incarnation != NO_INCARNATION
+        if echo > self._newest_echo and not is_identified:
             return None
-        if heartbeat.incarnation != last.incarnation:
-            return "old_incarnation"
-        return "old_sequence"
+        return "old_sequence" if is_same_run else OTHER_RUN
--- a/tests/peering/test_membership.py
+++ b/tests/peering/test_membership.py
@@ -167,6 +167,37 @@
     assert a.last_heartbeat("b").heartbeat.incarnation == 2
 
 
+@with_site
+async def test_restarts_are_heard_whatever_the_numbers_of_the_runs(site):
+    """RECOVER, review/7: runs have random numbers, and restarted hosts were ignored for good."""
+    a = site.members["a"]
+    for incarnation in (9, 5, 7, 1):
+        site.kill("b")
+        await sleep_s(0.5)
+        site.start("b", incarnation, members=("a", "b", "c"))
+        await sleep_s(1.0)
+        assert a.last_heartbeat("b").heartbeat.incarnation == incarnation
+        assert a.contacts(0.5) == site.members["b"].contacts(0.5) == {"a", "b", "c"}
+
+
+@with_site
+async def test_a_late_heartbeat_of_a_run_with_a_greater_number_is_dropped(site):
+    """ONE: what an ended run knew must not replace what the present one says."""
+    a = site.members["a"]
+    site.kill("b")
+    site.start("b", incarnation=9, members=("a", "b", "c"))
+    await sleep_s(1.0)
+    late = a.last_heartbeat("b").heartbeat
+    site.kill("b")
+    site.start("b", incarnation=4, members=("a", "b", "c"))
+    await sleep_s(1.0)
+    await site.network._links["b"].send("a", late)
+    before = site.dropped("a", "old_incarnation")
+    await sleep_s(0.01)
+    assert site.dropped("a", "old_incarnation") == before + 1
+    assert a.last_heartbeat("b").heartbeat.incarnation == 4
+
+
 @with_site
 async def test_messages_held_during_a_pause_are_not_fresh_evidence(site):
     a = site.members["a"]
@@ -309,6 +340,36 @@
         task.cancel()
 
 
+@pytest.mark.parametrize("restarting", ["voter", "host"])
+async def test_restarts_are_heard_where_heartbeats_are_sent_only_as_replies(restarting):
+    """RECOVER, review/7: a dropped heartbeat got no reply, whose echo alone ends the silence."""
+    network = PeerNetwork(1)
+    views, tasks = {}, {}
+
+    def start(name, incarnation):
+        views[name] = Membership(
+            identity(name, incarnation), network.link(name), lambda: STATE, reports_hosts=False
+        )
+        other = identity("host" if name == "voter" else "voter")
+        reply_only = frozenset({"host"} if name == "voter" else ())
+        views[name].set_members([other], (), reply_only, name == "host")
+        tasks[name] = asyncio.ensure_future(views[name].run())
+
+    start("voter", 8)
+    start("host", 8)
+    await asyncio.sleep(2.0)
+    tasks.pop(restarting).cancel()
+    network.detach(restarting)
+    await asyncio.sleep(1.0)
+    start(restarting, 3)
+    await asyncio.sleep(2.0)
+    # The voter has its echo with the next heartbeat of the host.
+    for view in views.values():
+        assert view.contacts(2.0 * REPLIED_HEARTBEAT_INTERVAL_S + 0.05) == {"host", "voter"}
+    for task in tasks.values():
+        task.cancel()
+
+
 async def test_removing_a_peer_before_its_reply_is_not_a_failure():
     """A change of the voters between a heartbeat and its reply must not count as a failure."""
     network = PeerNetwork(1)
