--- a/libs/model/src/pistachiowinch/model/succession.py
+++ b/libs/model/src/pistachiowinch/model/interrupted_switch.py
@@ -13,7 +13,7 @@
 from pistachiowinch.model.checker import Action, State
 from pistachiowinch.model.guards import GuardedSpecification
 
-__all__ = ["SuccessionGuard", "SuccessionSpecification"]
+__all__ = ["InterruptedSwitchGuard", "InterruptedSwitchSpecification"]
 
 _TARGETS = 3
 _MAX_EPOCHS = 3
@@ -23,7 +23,7 @@
 _OLD_PRIMARY, _NONE = 0, _TARGETS
 
 
-class SuccessionGuard(enum.Enum):
+class InterruptedSwitchGuard(enum.Enum):
     """Guards that a test removes to show that the checker then finds a violation."""
 
     ORDERS_RECORDED = "an order is recorded before it is sent"
@@ -34,11 +34,11 @@
     TERM_BEFORE = "a target has taken over if it leads a later term than before its order"
     ACCEPTED = "only an accepted order shows that its target was the newest primary"
     EFFECT_AWAITED = "an accepted order is given time to take effect"
-    OUTCOME_RECORDED = "a primary is recorded before it is used"
+    OUTCOME_CONFIRMED = "a primary is recorded before it is used"
     ARRIVES_IN_TIME = "an order that is held up does not arrive later"
 
 
-class SuccessionSpecification(GuardedSpecification[SuccessionGuard]):
+class InterruptedSwitchSpecification(GuardedSpecification[InterruptedSwitchGuard]):
     """Three targets, and promoters that continue each other's switch.
 
     :param removed: guard to leave out, or None for the complete protocol.
@@ -47,7 +47,7 @@
     @property
     def name(self) -> str:
         """Name in reports."""
-        return "succession"
+        return "interrupted switch"
 
     @property
     def scope(self) -> str:
@@ -127,9 +127,9 @@
     def _may_be_in_effect(self, state: State) -> z3.BoolRef:
         """Tell whether the newest primary may be out of the promoter's sight."""
         reasons = []
-        if self._has_guard(SuccessionGuard.ORDERS_SETTLED):
+        if self._has_guard(InterruptedSwitchGuard.ORDERS_SETTLED):
             reasons.append(z3.And(state["last"] != _NONE, z3.Not(state["settled"])))
-        if self._has_guard(SuccessionGuard.SILENCE_PROVES_NOTHING):
+        if self._has_guard(InterruptedSwitchGuard.SILENCE_PROVES_NOTHING):
             reasons += [
                 z3.And(state[f"possible{target}"], z3.Not(state[f"answers{target}"]))
                 for target in range(_TARGETS)
@@ -145,7 +145,7 @@
 
     @property
     def _arrives_in_time(self) -> bool:
-        return self._has_guard(SuccessionGuard.ARRIVES_IN_TIME)
+        return self._has_guard(InterruptedSwitchGuard.ARRIVES_IN_TIME)
 
     def _begin(self, state: State) -> Action:
         """Record the start of a switch, after which hosts have stopped using any primary."""
@@ -156,10 +156,10 @@
             "accepted": z3.BoolVal(False),
         }
         updates |= {f"used{target}": z3.BoolVal(False) for target in range(_TARGETS)}
-        if not self._has_guard(SuccessionGuard.ORDERS_RECORDED):
+        if not self._has_guard(InterruptedSwitchGuard.ORDERS_RECORDED):
             updates["last"] = _number(_NONE)
             updates |= {f"possible{target}": z3.BoolVal(False) for target in range(_TARGETS)}
-        if not self._has_guard(SuccessionGuard.REPLACED_PRIMARY_COUNTS):
+        if not self._has_guard(InterruptedSwitchGuard.REPLACED_PRIMARY_COUNTS):
             for target in range(_TARGETS):
                 is_possible = z3.And(state["switching"], state[f"possible{target}"])
                 updates[f"possible{target}"] = is_possible
@@ -179,7 +179,7 @@
         is_same = state["last"] == target
         is_first = state["last"] == _NONE
         may_order = z3.Or(is_same, is_first)
-        if self._has_guard(SuccessionGuard.ORDERS_SETTLED):
+        if self._has_guard(InterruptedSwitchGuard.ORDERS_SETTLED):
             may_order = z3.Or(may_order, state["settled"])
         else:
             may_order = z3.BoolVal(True)
@@ -191,7 +191,7 @@
             f"sent{target}": z3.BoolVal(True),
             f"possible{target}": z3.BoolVal(True),
         }
-        if not self._has_guard(SuccessionGuard.EARLIER_ORDERS_COUNT):
+        if not self._has_guard(InterruptedSwitchGuard.EARLIER_ORDERS_COUNT):
             for other in range(_TARGETS):
                 updates[f"possible{other}"] = z3.BoolVal(other == target)
         guard = z3.And(
@@ -256,16 +256,16 @@
         )
         is_last = state["last"] == target
         has_taken_over = is_last
-        if self._has_guard(SuccessionGuard.TERM_BEFORE):
+        if self._has_guard(InterruptedSwitchGuard.TERM_BEFORE):
             has_taken_over = z3.And(is_last, z3.UGT(term, state["before"]))
         is_confirmed = z3.And(is_last, term == state["before"])
-        if self._has_guard(SuccessionGuard.ACCEPTED):
+        if self._has_guard(InterruptedSwitchGuard.ACCEPTED):
             is_confirmed = z3.And(is_confirmed, state["accepted"])
-        if self._has_guard(SuccessionGuard.EFFECT_AWAITED):
+        if self._has_guard(InterruptedSwitchGuard.EFFECT_AWAITED):
             is_confirmed = z3.And(is_confirmed, state["settled"])
         is_known = z3.Or(has_taken_over, is_confirmed, z3.Not(self._may_be_in_effect(state)))
         updates: dict[str, z3.ExprRef] = {f"used{target}": z3.BoolVal(True)}
-        if self._has_guard(SuccessionGuard.OUTCOME_RECORDED):
+        if self._has_guard(InterruptedSwitchGuard.OUTCOME_CONFIRMED):
             updates |= {
                 "switching": z3.BoolVal(False),
                 "last": _number(_NONE),
--- a/tests/model/test_checker.py
+++ b/tests/model/test_checker.py
@@ -11,11 +11,14 @@
 from pistachiowinch.model.checker import Specification, check
 from pistachiowinch.model.currency import CurrencyGuard, CurrencySpecification
 from pistachiowinch.model.escrow import EscrowGuard, EscrowSpecification
+from pistachiowinch.model.interrupted_switch import (
+    InterruptedSwitchGuard,
+    InterruptedSwitchSpecification,
+)
 from pistachiowinch.model.ledger import LedgerGuard, LedgerSpecification
 from pistachiowinch.model.membership import MembershipGuard, MembershipSpecification
 from pistachiowinch.model.promotion import PromotionGuard, PromotionSpecification
 from pistachiowinch.model.restoration import RestorationGuard, RestorationSpecification
-from pistachiowinch.model.succession import SuccessionGuard, SuccessionSpecification
 from pistachiowinch.model.switchover import SwitchoverGuard, SwitchoverSpecification
 from pistachiowinch.model.usage_reports import UsageReportGuard, UsageReportSpecification
 from pistachiowinch.model.voter_set import VoterSetGuard, VoterSetSpecification
@@ -36,7 +39,7 @@
     _Case(RestorationSpecification(), 16),
     _Case(UsageReportSpecification(), 17),
     _Case(CurrencySpecification(), 15),
-    _Case(SuccessionSpecification(), 17),
+    _Case(InterruptedSwitchSpecification(), 17),
 ]
 
 # Depths within which a violation exists; the number of terms is reduced where two suffice.
@@ -63,7 +66,7 @@
     *(_Case(RestorationSpecification(guard), 14) for guard in RestorationGuard),
     *(_Case(UsageReportSpecification(guard), 16) for guard in UsageReportGuard),
     *(_Case(CurrencySpecification(guard), 14) for guard in CurrencyGuard),
-    *(_Case(SuccessionSpecification(guard), 12) for guard in SuccessionGuard),
+    *(_Case(InterruptedSwitchSpecification(guard), 12) for guard in InterruptedSwitchGuard),
 ]
 
 
