--- a/libs/base/src/pistachiowinch/base/caller_limits.py
+++ b/libs/base/src/pistachiowinch/base/caller_limits.py
@@ -2,8 +2,9 @@
 
 Load pattern: crowds of callers that the operators do not control. Some send large messages at
 once, some stop half-way, some send ahead or do not read their answers. What a connection may hold
-without asking is small, and the number of connections bounds its sum. Everything beyond is taken
-from three pools, which together are half of the machine's memory:
+without asking, in the kernel too, follows from the number of connections and the memory, since all
+may hold it before the process has read any. Everything beyond is taken from three pools, which
+together are half of the machine's memory:
 
 * messages: a large message is read only with a reservation for its largest size, so a message that
   is read can always be completed. Others wait in order of arrival. Values that sessions keep count
@@ -32,10 +33,14 @@
 
 # Bytes of messages that a connection may hold without a reservation.
 FREE_BYTES = 8192
-# Receive buffer of a connection in the kernel, which doubles it for its own use.
+# Largest and smallest receive buffer of a connection in the kernel, which doubles it for its own
+# use. A message takes several round trips of a small one.
 RECEIVE_BUFFER_BYTES = 32 * 1024
+MIN_RECEIVE_BUFFER_BYTES = 4 * 1024
 # What a connection that is not read may leave in the kernel and in its own buffer.
 WAITING_BYTES = 2 * RECEIVE_BUFFER_BYTES
+# Part of the memory that the kernel may hold for all connections that are not read in time.
+RECEIVING_FRACTION = 0.2
 # Values and prepared statements of a session that need no reservation.
 FREE_KEPT_BYTES = 2048
 # A message is held as received, as decoded, as parsed, and as sent to the target.
@@ -92,6 +97,7 @@
     :param messages_bytes: pool of large messages and of what sessions keep.
     :param waiting_bytes: pool of connections that are not read.
     :param answers_bytes: pool of answers that have not been taken.
+    :param receive_buffer_bytes: receive buffer of each connection.
     """
 
     connections: int
@@ -99,6 +105,7 @@
     messages_bytes: int
     waiting_bytes: int
     answers_bytes: int
+    receive_buffer_bytes: int = RECEIVE_BUFFER_BYTES
 
     @classmethod
     def of_machine(cls, machine: MachineLimits) -> "CallerLimits":
@@ -111,12 +118,14 @@
     @classmethod
     def of_memory(cls, memory_bytes: int, connections: int, sessions: int) -> "CallerLimits":
         """Derive the pools from the machine's memory."""
+        buffer_bytes = int(memory_bytes * RECEIVING_FRACTION / max(connections, 1) / 2.0)
         return cls(
             connections,
             sessions,
             int(memory_bytes * MESSAGES_FRACTION),
             int(memory_bytes * WAITING_FRACTION),
             int(memory_bytes * ANSWERS_FRACTION),
+            min(max(buffer_bytes, MIN_RECEIVE_BUFFER_BYTES), RECEIVE_BUFFER_BYTES),
         )
 
 
--- a/libs/entry/src/pistachiowinch/entry/caller_stream.py
+++ b/libs/entry/src/pistachiowinch/entry/caller_stream.py
@@ -6,6 +6,7 @@
 from typing import NoReturn
 
 from pistachiowinch.base.caller_limits import FREE_BYTES, CallerMemory, CallerUsage
+from pistachiowinch.base.clock import sleep_s
 from pistachiowinch.base.sockets import set_socket_options
 
 __all__ = ["CallerStream", "MessageTooLarge"]
@@ -158,6 +159,9 @@
     async def drain(self) -> None:
         """Wait until the caller has taken all answers; the account bounds the time.
 
+        If a further message has arrived, the other connections are served first: a caller that
+        sends ahead would otherwise hold up their reads.
+
         :raises ConnectionResetError: if the connection is closed.
         """
         if self.usage.unsent_bytes and not self._is_lost:
@@ -166,6 +170,8 @@
                 await self._drainer
             finally:
                 self._drainer = None
+        if self._buffer:
+            await sleep_s(0.0)
         if self._is_lost:
             raise ConnectionResetError("the connection is closed")
 
--- a/libs/entry/src/pistachiowinch/entry/callers.py
+++ b/libs/entry/src/pistachiowinch/entry/callers.py
@@ -8,8 +8,6 @@
 
 from pistachiowinch.base.caller_limits import (
     DEFAULT_MACHINE,
-    FREE_KEPT_BYTES,
-    RECEIVE_BUFFER_BYTES,
     CallerLimits,
     CallerMemory,
     CallerUsage,
@@ -32,7 +30,7 @@
 from pistachiowinch.links.statements import Prepare, SetValue, Statement
 from pistachiowinch.sessions.context import SessionContext
 from pistachiowinch.sessions.replies import Reply
-from pistachiowinch.sessions.session import Session
+from pistachiowinch.sessions.session import ENTRY_BYTES, Session
 
 __all__ = [
     "CallerCodec",
@@ -111,18 +109,14 @@
 
 
 class _Caller:
-    """One connection of a caller.
+    """One connection of a caller."""
 
-    :ivar kept_at_most_bytes: upper bound of what the session keeps.
-    """
-
-    __slots__ = ("is_waiting", "kept_at_most_bytes", "session", "stream")
+    __slots__ = ("is_waiting", "session", "stream")
 
     def __init__(self, stream: CallerStream) -> None:
         self.stream = stream
         self.session: Session | None = None
         self.is_waiting = False
-        self.kept_at_most_bytes = 0
 
     @property
     def can_close(self) -> bool:
@@ -174,7 +168,7 @@
         :returns: the port.
         """
         loop = asyncio.get_running_loop()
-        listener = listen(address, BACKLOG_CONNECTIONS, RECEIVE_BUFFER_BYTES)
+        listener = listen(address, BACKLOG_CONNECTIONS, self._limits.receive_buffer_bytes)
         self._server = await loop.create_server(
             self._create_stream, sock=listener, backlog=ACCEPT_BURST
         )
@@ -366,15 +360,8 @@
 
     def _may_keep(self, caller: _Caller, size_bytes: int) -> bool:
         """Charge a value or prepared statement to the session that keeps it."""
-        caller.kept_at_most_bytes += size_bytes
-        if caller.kept_at_most_bytes <= FREE_KEPT_BYTES:
-            return True
-        kept_bytes = caller.session.kept_bytes
-        if not self._memory.keep(caller.stream.usage, kept_bytes + size_bytes):
-            caller.kept_at_most_bytes = kept_bytes
-            return False
-        caller.kept_at_most_bytes = kept_bytes + size_bytes
-        return True
+        needed_bytes = caller.session.kept_bytes + ENTRY_BYTES + size_bytes
+        return self._memory.keep(caller.stream.usage, needed_bytes)
 
     async def _wait_for_configuration(self) -> None:
         is_configured = self._context.view.is_configured
--- a/libs/proxy/src/pistachiowinch/proxy/server.py
+++ b/libs/proxy/src/pistachiowinch/proxy/server.py
@@ -8,7 +8,6 @@
 
 from pistachiowinch.base.caller_limits import (
     DEFAULT_MACHINE,
-    RECEIVE_BUFFER_BYTES,
     CallerLimits,
     CallerMemory,
     CallerUsage,
@@ -73,6 +72,7 @@
         # When a zone leaves, all its sessions end at once, so each needs a lookup by number.
         self._by_session: dict[int, CallerConnection] = {}
         limits = CallerLimits.of_memory(memory_bytes, max_connections, max_connections)
+        self._receive_buffer_bytes = limits.receive_buffer_bytes
         self._memory = CallerMemory(limits, self._close_by_limit)
         self._max_packet_bytes = min(statement_bytes + _PACKET_OVERHEAD_BYTES, MAX_STATEMENT_BYTES)
         self._by_usage: dict[CallerUsage, CallerConnection] = {}
@@ -107,7 +107,7 @@
         """
         self._subscription = self._gateway.sessions_ended.subscribe(on_next=self._on_session_ended)
         loop = asyncio.get_running_loop()
-        listener = listen(f"{host}:{port}", _BACKLOG_CONNECTIONS, RECEIVE_BUFFER_BYTES)
+        listener = listen(f"{host}:{port}", _BACKLOG_CONNECTIONS, self._receive_buffer_bytes)
         self._server = await loop.create_server(
             lambda: PacketStream(self.accept, self._memory), sock=listener, backlog=ACCEPT_BURST
         )
--- a/libs/sessions/src/pistachiowinch/sessions/session.py
+++ b/libs/sessions/src/pistachiowinch/sessions/session.py
@@ -45,8 +45,10 @@
 # Part of the target latency for which an operation waits for a rate token; beyond that, an early
 # refusal serves the caller better.
 RATE_WAIT_FRACTION = 0.25
-# Maximum of variables and of prepared statements in one session; limits its memory to about 30 KB.
+# Maximum of variables and of prepared statements in one session.
 MAX_STATE_ENTRIES = 256
+# Memory of a variable or prepared statement besides its texts: its objects and its table entry.
+ENTRY_BYTES = 256
 
 
 class Session:
@@ -63,6 +65,7 @@
         self._database = database
         self._key = key
         self._state = CallerState()
+        self._kept_bytes = 0
         self._transaction: Transaction | None = None
         self._is_failure_known = False
         self._tasks: set[asyncio.Task] = set()
@@ -81,12 +84,8 @@
 
     @property
     def kept_bytes(self) -> int:
-        """Length of the values and prepared statements that the session keeps."""
-        values = sum(len(name) + len(value) for name, value in self._state.values.items())
-        templates = sum(
-            len(name) + len(kept.template) for name, kept in self._state.prepared.items()
-        )
-        return values + templates
+        """Memory of the values and prepared statements that the session keeps."""
+        return self._kept_bytes
 
     def admit(self) -> Refusal | tuple[Route, str]:
         """Check the database and the key against the current configuration.
@@ -167,13 +166,22 @@
             return self._refuse(STATEMENT_NOT_SUPPORTED, "the session keeps too much")
         match statement:
             case SetValue(name, value):
+                self._kept_bytes += _entry_bytes(name, value)
+                self._kept_bytes -= _entry_bytes(name, state.values.get(name))
                 state.values[name] = value
             case Prepare(name):
+                self._forget_prepared(name)
+                self._kept_bytes += _entry_bytes(name, statement.template)
                 state.prepared[name] = statement
             case Deallocate(name):
-                state.prepared.pop(name, None)
+                self._forget_prepared(name)
         return CompletedStatement()
 
+    def _forget_prepared(self, name: str) -> None:
+        known = self._state.prepared.pop(name, None)
+        if known is not None:
+            self._kept_bytes -= _entry_bytes(name, known.template)
+
     async def _start_operation(self, started_s: float) -> Operation | Refusal:
         """Admit a new operation and acquire its rate token."""
         if self._context.is_stopping:
@@ -278,3 +286,8 @@
             took_s=round(took_s, 4),
             outcome=outcome,
         )
+
+
+def _entry_bytes(name: str, text: str | None) -> int:
+    """Return the memory of a variable or prepared statement; 0 without one."""
+    return 0 if text is None else ENTRY_BYTES + len(name) + len(text)
--- a/tests/base/test_caller_limits.py
+++ b/tests/base/test_caller_limits.py
@@ -1,8 +1,11 @@
 """Replays crowds of callers on the account of their memory, without a network."""
 
+import pytest
+
 from pistachiowinch.base.caller_limits import (
     ANSWER_TIMEOUT_S,
     DEFAULT_MACHINE,
+    FREE_BYTES,
     MESSAGE_COPIES,
     MESSAGE_TIMEOUT_S,
     CallerLimits,
@@ -13,6 +16,8 @@
 )
 
 MEBIBYTE = 1024 * 1024
+# A process that serves nobody.
+PROCESS_BYTES = 45 * MEBIBYTE
 STEP_S = 0.1
 LIMITS = CallerLimits.of_machine(DEFAULT_MACHINE)
 
@@ -138,3 +143,14 @@
     assert limits.sessions < limits.connections <= 4200 - 200 - 500
     small = CallerLimits.of_machine(MachineLimits(MEBIBYTE, 1))
     assert small.connections > small.sessions >= 1
+
+
+@pytest.mark.parametrize("memory_mebibytes", [200, 300, 1000])
+def test_connections_that_are_not_read_in_time_stay_within_the_machine(memory_mebibytes):
+    """Fault, review/8: what thousands of callers send ahead arrives before any of it is read."""
+    memory_bytes = memory_mebibytes * MEBIBYTE
+    limits = CallerLimits.of_machine(MachineLimits(memory_bytes, 4200))
+    # The kernel doubles the size that is set.
+    unread_bytes = limits.connections * (2 * limits.receive_buffer_bytes + FREE_BYTES)
+    pools_bytes = limits.messages_bytes + limits.answers_bytes
+    assert unread_bytes + pools_bytes + PROCESS_BYTES < memory_bytes
--- a/tests/entry/test_callers.py
+++ b/tests/entry/test_callers.py
@@ -10,8 +10,11 @@
 from pistachiowinch.base.decisions import DecisionLog
 from pistachiowinch.entry.callers import CallerServer
 from pistachiowinch.platform.callers import LineCallerCodec
+from pistachiowinch.sessions.session import Session
 from pistachiowinch.sessions.site import EMPTY_CONFIGURATION, SiteConfiguration
 
+SENT_AHEAD = 400
+
 
 class Client:
     """A caller that sends lines and reads lines."""
@@ -272,3 +275,21 @@
     assert site.server.count == 3
     site.server.stop_listening()
     site.server.close_all()
+
+
+async def test_a_caller_that_sends_ahead_does_not_hold_up_others(site, monkeypatch):
+    """Fault, review/8: a session served all that had been sent ahead, and nobody else was read."""
+    greedy, other = await site.client(), await site.client()
+    await greedy.ask("START primary key")
+    await other.ask("START primary key")
+    served = []
+    execute = Session.execute
+
+    async def note(session, request_id, *arguments):
+        served.append(request_id)
+        return await execute(session, request_id, *arguments)
+
+    monkeypatch.setattr(Session, "execute", note)
+    greedy.writer.write(b"QUERY a SET v x\r\n" * SENT_AHEAD)
+    assert await other.ask("QUERY b SET v x") == ["DONE -", "READY I -"]
+    assert served.index("b") < SENT_AHEAD / 10
--- a/tests/sessions/test_session.py
+++ b/tests/sessions/test_session.py
@@ -1,6 +1,7 @@
 """Sessions over a fake database group: which target runs a statement, and what callers get."""
 
 import asyncio
+import tracemalloc
 
 import pytest
 from sessions.fake_group import SERVICE, World
@@ -10,6 +11,7 @@
 from pistachiowinch.links.statements import (
     Begin,
     Commit,
+    Deallocate,
     Execute,
     Prepare,
     Read,
@@ -20,7 +22,7 @@
     Write,
 )
 from pistachiowinch.sessions.replies import CompletedStatement
-from pistachiowinch.sessions.session import Session
+from pistachiowinch.sessions.session import MAX_STATE_ENTRIES, Session
 
 pytestmark = pytest.mark.looptime
 
@@ -334,3 +336,33 @@
     reply = await caller(READ)
     assert reply.code is NO_CONFIGURATION
     assert reply.code.ran is ExecutionStatus.NO
+
+
+async def test_what_a_session_keeps_is_counted_with_its_objects():
+    """Fault, review/8: hundreds of short values and statements counted as nearly nothing."""
+    world = World()
+    callers = [Caller(world, "primary") for _ in range(20)]
+    tracemalloc.start()
+    before_bytes, _ = tracemalloc.get_traced_memory()
+    for caller in callers:
+        for number in range(MAX_STATE_ENTRIES - 1):
+            await caller(SetValue(f"{caller.number}v{number}", f"x{number}"))
+            await caller(Prepare(f"{caller.number}p{number}", False, f"READ {number}"))
+    after_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert after_bytes - before_bytes < sum(caller.session.kept_bytes for caller in callers)
+
+
+async def test_what_a_session_keeps_is_counted_once():
+    """Fault: values that are set again and again must not use up what a session may keep."""
+    caller = Caller(World(), "primary")
+    for _ in range(3):
+        await caller(SetValue("v", "x"))
+        await caller(Prepare("p", False, "READ 1"))
+    kept_bytes = caller.session.kept_bytes
+    await caller(SetValue("v", "y"))
+    await caller(Prepare("p", False, "READ 2"))
+    assert caller.session.kept_bytes == kept_bytes
+    await caller(Deallocate("p"))
+    await caller(Deallocate("p"))
+    assert 0 < caller.session.kept_bytes < kept_bytes
