--- a/libs/fleet/src/pistachiowinch/fleet/promotion_choice.py
+++ b/libs/fleet/src/pistachiowinch/fleet/promotion_choice.py
@@ -23,7 +23,6 @@
     "UseTarget",
     "WaitForOrder",
     "WaitForTargets",
-    "best_candidate",
     "choose_primary",
     "highest_term",
 ]
@@ -120,7 +119,7 @@
     leader = _leader(progress.states, progress.candidates)
     if leader is not None:
         return UseTarget(leader, "leads the highest term, and no silent target can be newer")
-    best = best_candidate(progress)
+    best = _best_candidate(progress)
     if best is not None:
         return OrderTarget(best, "has the longest log")
     if _leader(progress.states, (progress.old_primary,)) is not None:
@@ -133,7 +132,7 @@
     return max((state.term for state in states.values()), default=0)
 
 
-def best_candidate(progress: SwitchProgress) -> str | None:
+def _best_candidate(progress: SwitchProgress) -> str | None:
     """Return the candidate with the longest log, or None.
 
     Of equal ones a replica is preferred, since its promotion shows in its role.
@@ -155,7 +154,7 @@
     if _is_order_pending(progress):
         # Two orders for different targets may take effect in either order.
         return WaitForOrder()
-    best = best_candidate(progress)
+    best = _best_candidate(progress)
     if best is None and progress.old_primary in progress.states:
         best = progress.old_primary
     if best is None:
@@ -178,7 +177,7 @@
     A second order for the same target cannot contradict the first one, whose effect may still be
     due. A target whose log is shorter than another's is not ordered again.
     """
-    best = best_candidate(progress)
+    best = _best_candidate(progress)
     state = progress.states.get(target)
     if best is None or state is None or target in progress.failed:
         return False
