Review: show that a prepared statement runs another client's text

The shared name of a prepared statement is xxh64 of its text, and connections remember only the name. Two texts of one tenant with the same hash, which can be constructed at once, therefore run as whichever was prepared first.

--- a/review/harness3/instances.py
+++ b/review/harness3/instances.py
@@ -100,6 +100,7 @@
         self.leader: Instance | None = None
         self.on_commit: Callable[[Instance, Entry, bool], None] = lambda *_: None
         self.on_promoted: Callable[[Instance, Instance], None] = lambda *_: None
+        self.on_execute: Callable[[Instance, str, str], None] = lambda *_: None
         self._ids = itertools.count(1)
         self._tasks: set[asyncio.Task] = set()
 
@@ -402,7 +403,7 @@
         if is_lost and not (text == "COMMIT" and not session.writes):
             raise _Error(f"READONLY {self.id}")
         self._check_applied(after)
-        kind, item, data = self._parse(session, text)
+        kind, item, data = self._parse(session, request_id, text)
         rows: list[str] = []
         match kind:
             case "READ":
@@ -423,15 +424,17 @@
         receipt = f"{self.term}.{self.id}.{next(self._receipts)}"
         return [*(f"ROW {row}" for row in rows), f"DONE {receipt}"]
 
-    def _parse(self, session: _Session, text: str) -> tuple[str, str, str]:
+    def _parse(self, session: _Session, request_id: str, text: str) -> tuple[str, str, str]:
         words = text.split(" ", 2)
         if words[0] != "EXECUTE":
             kind, item, data = [*words, "", ""][:3]
             return kind, item, data
         if words[1] not in session.prepared:
             raise _Error("NOSTMT")
+        kind, shape = session.prepared[words[1]]
+        self.service.on_execute(self, request_id, shape)
         item, _, data = words[2].partition(" ")
-        return session.prepared[words[1]][0], item, data
+        return kind, item, data
 
     async def _commit(self, request_id: str, writes: tuple[tuple[str, str], ...]) -> None:
         service = self.service
