--- a/review/12/scenario.py
+++ b/review/12/scenario.py
@@ -33,8 +33,10 @@
 SLOW_FACTOR = 7.5
 SLOW_S = 6.5
 WRITERS = 40
-REST_S = 2.5
-ROUNDS = 11
+REST_S = 1.5
+# After a promotion the old primary stays slow until it has stepped down.
+SETTLE_S = 1.2
+LAST_ROUND_S = 104.0
 START_TIMEOUT_S = 12.0
 
 
@@ -116,16 +118,18 @@
         return False
 
     async def _play(self) -> None:
-        for _ in range(ROUNDS):
+        while not self._broken and self._record.now_s() < LAST_ROUND_S:
             await asyncio.sleep(REST_S)
             primary = self._service.leader
             if self._has_trouble:
                 primary.slow_factor = SLOW_FACTOR
                 self._record.write("slow", instance=primary.id, factor=SLOW_FACTOR)
-            await asyncio.sleep(SLOW_S)
+            until_s = self._record.now_s() + SLOW_S
+            while self._service.leader is primary and self._record.now_s() < until_s:
+                await asyncio.sleep(0.05)
+            await asyncio.sleep(max(min(SETTLE_S, until_s - self._record.now_s()), 0.0))
             primary.slow_factor = 1.0
-            if self._broken:
-                return
+            self._record.write("no_longer_slow", instance=primary.id)
 
     async def _write(self, number: int) -> None:
         """Write again and again in one session."""
