Review: tell an error of a script from a broken rule

An exception would have ended a script with the status of a broken rule. The scripts now end with 2, seen with an error put in and without a build.

--- a/review/12/scenario.py
+++ b/review/12/scenario.py
@@ -5,6 +5,7 @@
 import random
 import sys
 import tempfile
+import traceback
 from pathlib import Path
 from typing import NamedTuple
 
@@ -216,7 +217,12 @@
         async def play() -> int:
             return await Scenario(Path(folder), has_trouble).run()
 
-        return asyncio.run(play())
+        try:
+            return asyncio.run(play())
+        except Exception:
+            # The interpreter's own status would look like a broken rule.
+            traceback.print_exc()
+            return 2
 
 
 if __name__ == "__main__":
--- a/review/14/scenario.py
+++ b/review/14/scenario.py
@@ -4,6 +4,7 @@
 import os
 import sys
 import tempfile
+import traceback
 from pathlib import Path
 
 from harness3.callers import Caller
@@ -148,7 +149,12 @@
         async def play() -> int:
             return await Scenario(Path(folder), has_trouble).run()
 
-        return asyncio.run(play())
+        try:
+            return asyncio.run(play())
+        except Exception:
+            # The interpreter's own status would look like a broken rule.
+            traceback.print_exc()
+            return 2
 
 
 if __name__ == "__main__":
--- a/review/15/scenario.py
+++ b/review/15/scenario.py
@@ -4,6 +4,7 @@
 import os
 import sys
 import tempfile
+import traceback
 from pathlib import Path
 
 from harness3.callers import Answer, Caller
@@ -16,8 +17,8 @@
 SERVICES = ["core-1", "core-2"]
 DATABASE = "cue-sheets"
 KEY = "key-0"
-# As on the sheet of gmsau-jingle: slots, connections, lag, time of a promotion, work and the route's
-# times.
+# As on the sheet of gmsau-jingle: slots, connections, lag, time of a promotion, work, and the times
+# of the route.
 SLOTS = 5
 MAX_CONNECTIONS = 50
 LAG_S = 0.02
@@ -211,7 +212,12 @@
         async def play() -> int:
             return await Scenario(Path(folder), has_trouble).run()
 
-        return asyncio.run(play())
+        try:
+            return asyncio.run(play())
+        except Exception:
+            # The interpreter's own status would look like a broken rule.
+            traceback.print_exc()
+            return 2
 
 
 if __name__ == "__main__":
