Logs: what a switch waits for and compares, and writes that end during it

Cause: the lines of a switch could not tell a host that was idle from one that only was in touch, a target at its slots from a silent one, or under which lease and number of a switch a write was acknowledged.

Change: hosts_drained (idle, busy, silent, age of the majority), logs_compared (state, refusal or silence of each target before an order), write_ended_in_switch, own_commit_superseded. A request for a target's state now yields its refusal, too. No decision is changed.

--- a/libs/fleet/src/pistachiowinch/fleet/switching.py
+++ b/libs/fleet/src/pistachiowinch/fleet/switching.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import enum
-from collections.abc import Callable
+from collections.abc import Callable, Set
 from dataclasses import dataclass
 from typing import NamedTuple, Protocol
 
@@ -31,7 +31,7 @@
 from pistachiowinch.fleet.promotion_lock import PromotionLock, try_acquire_lock
 from pistachiowinch.fleet.records import PrimaryRecord, decode_record, encode_record, group_key
 from pistachiowinch.links.peers import PeerLink, PeerUnreachable
-from pistachiowinch.links.statements import TargetState
+from pistachiowinch.links.statements import ReasonRefused, StateAnswer, TargetState
 from pistachiowinch.links.store import Compare, KeyValue, PollingStore, Put, StoreError
 
 __all__ = [
@@ -67,6 +67,8 @@
 PROMOTION_TIMEOUT_S = 2.5
 # Many round trips to a working primary; a failed one must not delay the switch.
 DEMOTE_TIMEOUT_S = 0.3
+# A log line names at most this many hosts of each kind; a large fleet has hundreds.
+MAX_LOGGED_HOSTS = 10
 # After this time an order has taken effect even if its answer was lost; a promotion takes 1 s.
 ORDER_EFFECT_S = 1.5
 # Three times the duration of a slow switch; an unfinished one is left to the next attempt.
@@ -93,8 +95,8 @@
         :param fencing_token: token of that lock.
         """
 
-    async def state(self, service: str, target: str, timeout_s: float) -> TargetState | None:
-        """Return a target's state, or None if it does not answer."""
+    async def state(self, service: str, target: str, timeout_s: float) -> StateAnswer:
+        """Return a target's state, why it was refused, or None if the target does not answer."""
 
     async def demote(self, service: str, target: str, term: int, timeout_s: float) -> None:
         """Notify a target of a later term, so that it stops acting as primary."""
@@ -173,6 +175,8 @@
         self._asks_old_primary = False
         self._started_s = now_s()
         self._states: dict[str, TargetState] = {}
+        self._answers: dict[str, StateAnswer] = {}
+        self._busy_hosts: set[str] = set()
 
     async def run(self) -> bool:
         """Perform the switch.
@@ -292,6 +296,7 @@
                     stopped |= frozenset().union(*self._context.voter_groups()) - members
                     drained |= stopped
                 if members <= drained and current.done():
+                    self._log_drain("all idle", own_drain, drained, members, 0.0)
                     return True
                 if not current.done() or not self._has_majorities(frozenset(drained)):
                     # A member that returned may have extended other hosts' leases meanwhile.
@@ -302,7 +307,8 @@
                     majority_since_s is not None
                     and now_s() - majority_since_s > PRIMARY_LEASE_S + PRIMARY_LEASE_MARGIN_S
                 ):
-                    self._log("hosts_not_gated", hosts=sorted(members - drained))
+                    age_s = now_s() - majority_since_s
+                    self._log_drain("leases expired", own_drain, drained, members, age_s)
                     return True
                 for host in members - requests.keys() - {self._context.host}:
                     requests[host] = asyncio.ensure_future(self._drain_host(host, grace_s))
@@ -312,6 +318,27 @@
             for request in (*requests.values(), own_drain, current):
                 request.cancel()
 
+    def _log_drain(
+        self,
+        cause: str,
+        own_drain: "asyncio.Future[bool]",
+        drained: Set[str],
+        members: frozenset[str],
+        majority_age_s: float,
+    ) -> None:
+        """Log which hosts were idle, and on which others only their leases were waited for."""
+        others = sorted(members - drained)
+        self._log(
+            "hosts_drained",
+            cause=cause,
+            idle=len(members & drained),
+            is_own_work_idle=own_drain.done() and own_drain.result(),
+            busy=[host for host in others if host in self._busy_hosts][:MAX_LOGGED_HOSTS],
+            silent=[host for host in others if host not in self._busy_hosts][:MAX_LOGGED_HOSTS],
+            majority_age_s=round(majority_age_s, 3),
+            took_s=round(now_s() - self._started_s, 3),
+        )
+
     def _has_majorities(self, drained: frozenset[str]) -> bool:
         voter_groups = self._context.voter_groups()
         return all(includes_majority(voters, drained) for voters in voter_groups)
@@ -321,6 +348,7 @@
         while True:
             try:
                 answer = await self._context.link.request(host, request, DRAIN_TIMEOUT_S + grace_s)
+                self._busy_hosts.add(host)
                 if isinstance(answer, DrainAnswer) and answer.is_idle:
                     return
             except PeerUnreachable:
@@ -341,6 +369,7 @@
                         await self._wait_caught_up(target)
                     if not await try_acquire_lock(self._context.promotion_lock, self._context.log):
                         return None
+                    self._log_states("logs_compared", target=target, reason=choice.reason)
                     previous = self._ordered
                     if not await self._record_order(target):
                         return None
@@ -422,9 +451,10 @@
         names = {*names, *request.candidates} - {""}
         requests = [self._state_of(name) for name in sorted(names)]
         replies = await asyncio.gather(*requests)
-        self._states = {name: state for name, state in replies if state is not None}
+        self._answers = dict(replies)
+        self._states = {n: state for n, state in replies if isinstance(state, TargetState)}
 
-    async def _state_of(self, target: str) -> tuple[str, TargetState | None]:
+    async def _state_of(self, target: str) -> tuple[str, StateAnswer]:
         service = self._request.service
         return target, await self._context.orders.state(service, target, STATE_TIMEOUT_S)
 
@@ -438,7 +468,7 @@
                 return
             await sleep_s(POLL_INTERVAL_S)
             _, state = await self._state_of(target)
-            if state is not None:
+            if isinstance(state, TargetState):
                 self._states[target] = state
 
     async def _order_promotion(self, choice: OrderTarget) -> PromoteAnswer | None:
@@ -472,7 +502,7 @@
         until_s = now_s() + PROMOTION_TIMEOUT_S
         while now_s() < until_s:
             _, state = await self._state_of(target)
-            if state is not None and state.is_primary:
+            if isinstance(state, TargetState) and state.is_primary:
                 if state.term > previous_term:
                     self._log_choice(target, "took over after this switch's order")
                     return True
@@ -566,9 +596,7 @@
     def _log_choice(self, primary: str, evidence: str) -> None:
         """Log which target becomes primary, and what is known of a target ordered before."""
         last = self._ordered
-        request = self._request
-        asked = {*request.candidates, request.old_primary, last.target or ""} - {""}
-        self._log(
+        self._log_states(
             "primary_chosen",
             primary=primary,
             evidence=evidence,
@@ -576,10 +604,19 @@
             ordered_by=last.host,
             term_before=last.term_before,
             ordered_answered=last.target in self._states,
-            states={name: self._describe(name) for name in sorted(asked)},
         )
 
+    def _log_states(self, event: str, **fields: object) -> None:
+        """Log a decision with what each target of the service has answered."""
+        request = self._request
+        asked = {*request.candidates, request.old_primary, self._ordered.target or ""} - {""}
+        states = {name: self._describe(name) for name in sorted(asked)}
+        self._log(event, **fields, states=states)
+
     def _describe(self, target: str) -> str:
+        answer = self._answers.get(target)
+        if isinstance(answer, ReasonRefused):
+            return f"refused: {answer.value}"
         state = self._states.get(target)
         if state is None:
             return "no answer"
--- a/libs/links/src/pistachiowinch/links/statements.py
+++ b/libs/links/src/pistachiowinch/links/statements.py
@@ -24,6 +24,7 @@
     "Refused",
     "Rollback",
     "SetValue",
+    "StateAnswer",
     "Statement",
     "StatementConnection",
     "StatementLink",
@@ -204,6 +205,10 @@
     received: Position | None
 
 
+# What a request for a target's state yields: the state, the target's refusal, or None for silence.
+StateAnswer = TargetState | ReasonRefused | None
+
+
 class TargetRefused(Exception):
     """A target refused a connection, or the connection could not be opened.
 
@@ -238,8 +243,8 @@
     async def reset(self, timeout_s: float) -> StatementOutcome:
         """Reset the connection's session values and prepared statements."""
 
-    async def state(self, timeout_s: float) -> TargetState | None:
-        """Return the target's state, or None if it did not answer."""
+    async def state(self, timeout_s: float) -> StateAnswer:
+        """Return the target's state, why it was refused, or None if the target did not answer."""
 
     async def demote(self, term: int, timeout_s: float) -> TargetState | None:
         """Notify the target of a later term, so that it stops acting as primary.
--- a/libs/sessions/src/pistachiowinch/sessions/borrowing.py
+++ b/libs/sessions/src/pistachiowinch/sessions/borrowing.py
@@ -149,6 +149,16 @@
         return observed.position
     if observed.epoch > state.position_epoch:
         # Positions of a later primary cover every commit that survived the switch.
+        if state.superseded_epoch != observed.epoch:
+            state.superseded_epoch = observed.epoch
+            context.log.write(
+                "own_commit_superseded",
+                service=route.service,
+                own=state.position,
+                own_epoch=state.position_epoch,
+                observed=observed.position,
+                observed_epoch=observed.epoch,
+            )
         return observed.position
     return max(observed.position, state.position)
 
--- a/libs/sessions/src/pistachiowinch/sessions/context.py
+++ b/libs/sessions/src/pistachiowinch/sessions/context.py
@@ -106,10 +106,20 @@
 
         :param sent_epoch: number of the latest switch when the commit was sent.
         """
-        if not self.has_lease():
-            return False
-        is_same = self.primaries.epoch(service) == sent_epoch
-        return is_same or not self.primaries.primary(service)
+        has_lease = self.has_lease()
+        epoch = self.primaries.epoch(service)
+        may_acknowledge = has_lease and (epoch == sent_epoch or not self.primaries.primary(service))
+        if epoch != sent_epoch or not has_lease:
+            self.log.write(
+                "write_ended_in_switch",
+                service=service,
+                sent_epoch=sent_epoch,
+                epoch=epoch,
+                primary=self.primaries.primary(service),
+                has_lease=has_lease,
+                is_acknowledged=may_acknowledge,
+            )
+        return may_acknowledge
 
     def leased_primary(self, service: str) -> str:
         """Return the primary's name if this host may use it now, else an empty string."""
--- a/libs/sessions/src/pistachiowinch/sessions/work.py
+++ b/libs/sessions/src/pistachiowinch/sessions/work.py
@@ -22,9 +22,10 @@
 
     :ivar position: end of the log after the session's last commit.
     :ivar position_epoch: number of the latest switch at that time.
+    :ivar superseded_epoch: number of the last switch that was logged to supersede the position.
     """
 
-    __slots__ = ("position", "position_epoch", "prepared", "values")
+    __slots__ = ("position", "position_epoch", "prepared", "superseded_epoch", "values")
 
     def __init__(self) -> None:
         """Create the state of a new session."""
@@ -32,6 +33,7 @@
         self.prepared: dict[str, Prepare] = {}
         self.position: Position | None = None
         self.position_epoch = 0
+        self.superseded_epoch = 0
 
 
 class Work(NamedTuple):
