Sessions: a commit's position belongs to the service where it was made

Cause: a session kept one log position and one switch number, whatever service they belonged to. A write at the second service replaced those of the first; back there, its switch number looked later than the session's, so the own write was not asked for. With equal numbers the greater of two unrelated positions won. The line own_commit_superseded shows it: own=1.1 of core-2 beside observed=2.45 of core-1. Excluded: a position of an earlier primary, a replica that claims what it lacks, a COMMIT under the new route.

Change: CallerState keeps the last commit by service. A commit whose answer states no position no longer erases the one before; until the next one, reads of that session go to the primary.

--- a/libs/sessions/src/pistachiowinch/sessions/autocommit.py
+++ b/libs/sessions/src/pistachiowinch/sessions/autocommit.py
@@ -121,8 +121,7 @@
     if not context.may_acknowledge(operation.route.service, borrowed.epoch):
         context.metrics.refusals.labels(OUTCOME_UNKNOWN.label).inc()
         return Refusal(OUTCOME_UNKNOWN, "the primary was replaced while the write ran")
-    operation.state.position = outcome.position
-    operation.state.position_epoch = borrowed.epoch
+    operation.state.note_commit(operation.route.service, outcome.position, borrowed.epoch)
     return CompletedStatement(*outcome)
 
 
--- a/libs/sessions/src/pistachiowinch/sessions/borrowing.py
+++ b/libs/sessions/src/pistachiowinch/sessions/borrowing.py
@@ -144,23 +144,24 @@
     observed = log.required(epoch, operation.started_s, route.max_staleness_s)
     if observed is None:
         return None
-    state = operation.state
-    if route.consistency is not Consistency.READ_YOUR_WRITES or state.position is None:
+    own = operation.state.commits.get(route.service)
+    if route.consistency is not Consistency.READ_YOUR_WRITES or own is None:
         return observed.position
-    if observed.epoch > state.position_epoch:
+    if observed.epoch > own.epoch:
         # Positions of a later primary cover every commit that survived the switch.
-        if state.superseded_epoch != observed.epoch:
-            state.superseded_epoch = observed.epoch
+        if own.superseded_epoch != observed.epoch:
+            own.superseded_epoch = observed.epoch
             context.log.write(
                 "own_commit_superseded",
                 service=route.service,
-                own=state.position,
-                own_epoch=state.position_epoch,
+                own=own.position,
+                own_epoch=own.epoch,
                 observed=observed.position,
                 observed_epoch=observed.epoch,
             )
         return observed.position
-    return max(observed.position, state.position)
+    # Without its position, no replica can prove that it has the commit.
+    return None if own.position is None else max(observed.position, own.position)
 
 
 def _immediate_refusal(
--- a/libs/sessions/src/pistachiowinch/sessions/transactions.py
+++ b/libs/sessions/src/pistachiowinch/sessions/transactions.py
@@ -215,8 +215,7 @@
             if not self._context.may_acknowledge(service, borrowed.epoch):
                 self._count_refusal(OUTCOME_UNKNOWN.label)
                 return Refusal(OUTCOME_UNKNOWN, "the primary was replaced during COMMIT")
-            self.operation.state.position = outcome.position
-            self.operation.state.position_epoch = borrowed.epoch
+            self.operation.state.note_commit(service, outcome.position, borrowed.epoch)
         return CompletedStatement(*outcome)
 
     def _fail(self, cause: str) -> Refusal:
--- a/libs/sessions/src/pistachiowinch/sessions/work.py
+++ b/libs/sessions/src/pistachiowinch/sessions/work.py
@@ -14,26 +14,49 @@
 from pistachiowinch.sessions.alignment import shared_statement_name
 from pistachiowinch.sessions.site import Consistency, Route
 
-__all__ = ["CallerState", "Operation", "RateToken", "Work", "build_work"]
+__all__ = ["CallerState", "Operation", "OwnCommit", "RateToken", "Work", "build_work"]
+
+
+class OwnCommit:
+    """A session's last commit at one service, whose log and switches it is counted by.
+
+    :ivar position: end of the log after the commit; None if unknown.
+    :ivar epoch: number of the service's latest switch when the commit was sent.
+    :ivar superseded_epoch: number of the last switch that was logged to supersede the commit.
+    """
+
+    __slots__ = ("epoch", "position", "superseded_epoch")
+
+    def __init__(self, position: Position | None, epoch: int) -> None:
+        """Create a commit that nothing has superseded."""
+        self.position = position
+        self.epoch = epoch
+        self.superseded_epoch = epoch
 
 
 class CallerState:
     """Session state that is kept between operations.
 
-    :ivar position: end of the log after the session's last commit.
-    :ivar position_epoch: number of the latest switch at that time.
-    :ivar superseded_epoch: number of the last switch that was logged to supersede the position.
+    :ivar commits: the session's last commit at each service. Versions of the configuration lead a
+        route from one service to another and back, so entries stay for as long as the session;
+        there are no more of them than services.
     """
 
-    __slots__ = ("position", "position_epoch", "prepared", "superseded_epoch", "values")
+    __slots__ = ("commits", "prepared", "values")
 
     def __init__(self) -> None:
         """Create the state of a new session."""
         self.values: dict[str, str] = {}
         self.prepared: dict[str, Prepare] = {}
-        self.position: Position | None = None
-        self.position_epoch = 0
-        self.superseded_epoch = 0
+        self.commits: dict[str, OwnCommit] = {}
+
+    def note_commit(self, service: str, position: Position | None, epoch: int) -> None:
+        """Record an acknowledged commit of this session.
+
+        :param position: end of the log after the commit; None if the target did not report it.
+        :param epoch: number of the latest switch when the commit was sent.
+        """
+        self.commits[service] = OwnCommit(position, epoch)
 
 
 class Work(NamedTuple):
--- a/tests/sessions/fake_group.py
+++ b/tests/sessions/fake_group.py
@@ -53,6 +53,7 @@
     :param lose_answers: number of answers still to be lost.
     :param refuse: reasons for which the next statements are refused.
     :param opened: number of connections opened so far.
+    :param reports_position: whether its answers state the end of its log.
     :param runs: statements that it ran: kind, request id and state of the connection.
     """
 
@@ -67,6 +68,7 @@
     max_connections: int = 100
     connections: int = 0
     opened: int = 0
+    reports_position: bool = True
     runs: list[tuple] = field(default_factory=list)
 
     @property
@@ -159,7 +161,8 @@
                     self.writes.append(request_id)
                 elif is_write:
                     target.applied += 1
-        return Completed((), f"receipt-{request_id}", target.position)
+        position = target.position if target.reports_position else None
+        return Completed((), f"receipt-{request_id}", position)
 
     async def reset(self, timeout_s):
         """Drop variables and prepared statements."""
