Sessions: a prepared statement is identified by a cryptographic digest

Cause: the name under which all sessions prepare a statement at targets was a hash that is not cryptographic. A pooled connection that has the name serves every statement with it. Excluded: the callers' own names, and connections shared by customers (both hold in tests on the old code).

Change: the name is a BLAKE2b digest of 256 bits, computed once at PREPARE instead of up to three times at each execution. A pool host names statements itself, by the text that comes with each execution.

--- a/libs/sessions/src/pistachiowinch/sessions/alignment.py
+++ b/libs/sessions/src/pistachiowinch/sessions/alignment.py
@@ -1,9 +1,8 @@
 """Apply a session's variables and prepared statements to a pooled connection."""
 
+import hashlib
 from collections.abc import Mapping
 
-import xxhash
-
 from pistachiowinch.base.clock import remaining_s
 from pistachiowinch.links.statements import (
     NO_REQUEST_ID,
@@ -15,19 +14,25 @@
 )
 from pistachiowinch.sessions.connections import PooledConnection
 
-__all__ = ["align", "shared_statement_name"]
+__all__ = ["align", "with_shared_name"]
 
 # Prepared statements on one connection: half of what a session may prepare, to bound the target's
 # memory.
 MAX_PREPARED_STATEMENTS = 128
+# Length of the digests that identify prepared statements; no two texts with the same one are known.
+DIGEST_BYTES = 32
 
 _ALIGNED = Completed((), "", None)
 
 
-def shared_statement_name(prepared: Prepare) -> str:
-    """Return the name under which all sessions prepare a statement at targets."""
+def with_shared_name(prepared: Prepare) -> Prepare:
+    """Return a statement with the name under which all sessions prepare it at targets.
+
+    Callers choose the text, so only a cryptographic digest identifies it.
+    """
     kind = "w" if prepared.is_write else "r"
-    return f"{kind}{xxhash.xxh64_hexdigest(prepared.template.encode())}"
+    digest = hashlib.blake2b(prepared.template.encode(), digest_size=DIGEST_BYTES).hexdigest()
+    return Prepare(f"{kind}{digest}", prepared.is_write, prepared.template)
 
 
 async def align(
@@ -36,7 +41,8 @@
     """Set a connection's variables to those of the session, and prepare a statement.
 
     :param values: all variables of the session.
-    :param prepared: prepared statement that runs next; None if the next one is not prepared.
+    :param prepared: prepared statement that runs next, with its shared name; None if the next one
+        is not prepared.
     :param deadline_s: loop time after which the target is treated as unresponsive.
     :returns: :class:`Completed` on success, otherwise the outcome of the step that failed.
     """
@@ -55,12 +61,11 @@
             if not isinstance(outcome, Completed):
                 return outcome
             pooled.values[name] = value
-    if prepared is None or shared_statement_name(prepared) in pooled.prepared:
+    if prepared is None or prepared.name in pooled.prepared:
         return _ALIGNED
-    name = shared_statement_name(prepared)
-    outcome = await _run(pooled, Prepare(name, prepared.is_write, prepared.template), deadline_s)
+    outcome = await _run(pooled, prepared, deadline_s)
     if isinstance(outcome, Completed):
-        pooled.prepared.add(name)
+        pooled.prepared.add(prepared.name)
     return outcome
 
 
--- a/libs/sessions/src/pistachiowinch/sessions/pool_server.py
+++ b/libs/sessions/src/pistachiowinch/sessions/pool_server.py
@@ -19,6 +19,7 @@
     Begin,
     Commit,
     Completed,
+    Execute,
     Interrupted,
     Position,
     ReasonRefused,
@@ -27,6 +28,7 @@
     Statement,
     StatementOutcome,
 )
+from pistachiowinch.sessions.alignment import with_shared_name
 from pistachiowinch.sessions.borrowing import BorrowedConnection
 from pistachiowinch.sessions.connections import ConnectionRequest, PooledConnection
 from pistachiowinch.sessions.context import SessionContext
@@ -345,10 +347,15 @@
             return refused
         min_position = None if message.min_position is None else Position(*message.min_position)
         borrowed = BorrowedConnection(pooled, message.is_primary, message.epoch, min_position)
+        prepared = decode_prepared(message.template)
+        if prepared is not None and isinstance(statement, Execute):
+            # The name must be this host's, since its connections keep the statements by it.
+            prepared = with_shared_name(prepared)
+            statement = Execute(prepared.name, statement.arguments)
         work = Work(
             message.request_id,
             statement,
-            decode_prepared(message.template),
+            prepared,
             message.is_write,
             message.transaction != 0,
         )
--- a/libs/sessions/src/pistachiowinch/sessions/session.py
+++ b/libs/sessions/src/pistachiowinch/sessions/session.py
@@ -31,6 +31,7 @@
     Unsupported,
     Write,
 )
+from pistachiowinch.sessions.alignment import with_shared_name
 from pistachiowinch.sessions.autocommit import run_autocommit
 from pistachiowinch.sessions.context import SessionContext
 from pistachiowinch.sessions.replies import CompletedStatement, Reply, TransactionState
@@ -47,8 +48,9 @@
 RATE_WAIT_FRACTION = 0.25
 # Maximum of variables and of prepared statements in one session.
 MAX_STATE_ENTRIES = 256
-# Memory of a variable or prepared statement besides its texts: its objects and its table entry.
-ENTRY_BYTES = 256
+# Memory of a variable or prepared statement besides its texts: its objects, its table entry and a
+# statement's shared name.
+ENTRY_BYTES = 384
 
 
 class Session:
@@ -172,7 +174,7 @@
             case Prepare(name):
                 self._forget_prepared(name)
                 self._kept_bytes += _entry_bytes(name, statement.template)
-                state.prepared[name] = statement
+                state.prepared[name] = with_shared_name(statement)
             case Deallocate(name):
                 self._forget_prepared(name)
         return CompletedStatement()
--- a/libs/sessions/src/pistachiowinch/sessions/work.py
+++ b/libs/sessions/src/pistachiowinch/sessions/work.py
@@ -11,7 +11,6 @@
     Statement,
     Write,
 )
-from pistachiowinch.sessions.alignment import shared_statement_name
 from pistachiowinch.sessions.site import Consistency, Route
 
 __all__ = ["CallerState", "Operation", "OwnCommit", "RateToken", "Work", "build_work"]
@@ -40,6 +39,7 @@
     :ivar commits: the session's last commit at each service. Versions of the configuration lead a
         route from one service to another and back, so entries stay for as long as the session;
         there are no more of them than services.
+    :ivar prepared: prepared statements with their shared names, by the caller's name.
     """
 
     __slots__ = ("commits", "prepared", "values")
@@ -64,7 +64,8 @@
 
     :param statement: statement with the shared name instead of the caller's name for a prepared
         statement.
-    :param prepared: prepared statement that it executes; None if there is none.
+    :param prepared: prepared statement that it executes, with its shared name; None if there is
+        none.
     :param is_in_transaction: whether it runs inside an open transaction, where the reported end of
         the log may be that of the transaction's start.
     """
@@ -111,7 +112,10 @@
 def build_work(
     request_id: str, statement: Statement, prepared: Mapping[str, Prepare]
 ) -> Work | None:
-    """Build the work for a read, write or execution; None if the prepared name is unknown."""
+    """Build the work for a read, write or execution; None if the prepared name is unknown.
+
+    :param prepared: the session's prepared statements with their shared names.
+    """
     match statement:
         case Read():
             return Work(request_id, statement, None, False)
@@ -121,7 +125,6 @@
             found = prepared.get(name)
             if found is None:
                 return None
-            renamed = Execute(shared_statement_name(found), arguments)
-            return Work(request_id, renamed, found, found.is_write)
+            return Work(request_id, Execute(found.name, arguments), found, found.is_write)
         case _:
             raise ValueError(f"{type(statement).__name__} cannot be run by a target")
--- a/tests/sessions/test_pool_hosts.py
+++ b/tests/sessions/test_pool_hosts.py
@@ -7,13 +7,20 @@
 import pytest
 from sessions.fake_group import SERVICE
 from sessions.shared_pools import SLOTS, SharedWorlds
-from sessions.test_session import COMMIT, READ, WRITE, Caller
+from sessions.test_session import COLLIDING_TEMPLATES, COMMIT, READ, WRITE, Caller
 
 from pistachiowinch.base import codes
 from pistachiowinch.base.codes import Refusal
 from pistachiowinch.base.decisions import DecisionLog
 from pistachiowinch.base.identity import HostIdentity
-from pistachiowinch.links.statements import Begin, ReasonRefused, Rollback, SetValue
+from pistachiowinch.links.statements import (
+    Begin,
+    Execute,
+    Prepare,
+    ReasonRefused,
+    Rollback,
+    SetValue,
+)
 from pistachiowinch.sessions.pool_hosts import PoolHosts
 from pistachiowinch.sessions.pool_messages import PoolClose, PoolStatement
 from pistachiowinch.sessions.replies import CompletedStatement
@@ -75,6 +82,34 @@
     assert shared.worlds["h0"].primary.runs[-1][2] == {}
 
 
+async def test_a_pool_host_tells_apart_texts_with_equal_short_hashes():
+    """PINNED: statements of two hosts' sessions ran the text of the one that came first."""
+    shared = SharedWorlds()
+    host = shared.pool_host("a")
+    names = [name for name in shared.names if name != host]
+    for name, template in zip(names, COLLIDING_TEMPLATES, strict=False):
+        caller = Caller(shared.worlds[name], "primary")
+        await caller(Prepare("s1", True, template))
+        assert isinstance(await caller(Execute("s1", "1 x")), CompletedStatement)
+    primary = shared.worlds["h0"].primary
+    assert [run[4] for run in primary.runs] == [*COLLIDING_TEMPLATES]
+    assert primary.opened == 1
+
+
+async def test_a_pool_host_names_prepared_statements_itself():
+    """PINNED: names that another host had computed were used as they came."""
+    shared = SharedWorlds()
+    server = shared.servers[shared.pool_host("a")]
+    for number, template in enumerate(("shape one", "shape two"), 1):
+        message = PoolStatement(
+            7, number, 0, SERVICE, "a", True, 0, "carp", 1, 400, 1000, f"r{number}",
+            ("e", "same", "1 x"), True, {}, ("same", template, True),
+        )  # fmt: skip
+        await server.serve("h9", message)
+    runs = shared.worlds["h0"].primary.runs
+    assert [run[4] for run in runs] == ["shape one", "shape two"]
+
+
 async def test_a_transaction_stays_on_one_connection():
     """PINNED: statements of a transaction run on different connections of the pool host."""
     shared = SharedWorlds()
--- a/tests/sessions/test_session.py
+++ b/tests/sessions/test_session.py
@@ -4,6 +4,7 @@
 import tracemalloc
 
 import pytest
+import xxhash
 from sessions.fake_group import SERVICE, World
 
 from pistachiowinch.base import codes
@@ -236,6 +237,38 @@
     assert templates == [("read", "shape one"), ("write", "shape two"), ("read", "shape one")]
 
 
+# Two texts with the same xxh64, which a client can construct for any text of some length.
+COLLIDING_TEMPLATES = (
+    "select amount from deposits where depot = ? and day between ? and ? order by day",
+    "yupw5yxpmount from deposits wherp.t{98~C= ? and day between ? and ? order by day",
+)
+
+
+async def test_texts_with_equal_short_hashes_are_different_statements():
+    """PINNED: a session ran another client's text that was constructed to have the same hash."""
+    world = World(share=1)
+    assert len({xxhash.xxh64_digest(text.encode()) for text in COLLIDING_TEMPLATES}) == 1
+    callers = [Caller(world, "primary") for _ in COLLIDING_TEMPLATES]
+    for caller, template in zip(callers, COLLIDING_TEMPLATES, strict=True):
+        await caller(Prepare("s1", False, template))
+    for _ in range(2):
+        for caller in callers:
+            assert isinstance(await caller(Execute("s1", "1")), CompletedStatement)
+    assert [run[4] for run in world.primary.runs] == [*COLLIDING_TEMPLATES] * 2
+    assert world.primary.opened == 1
+
+
+async def test_a_prepared_statement_is_reused_within_its_customer_only():
+    """PINNED, UNASKED: an equal statement of another customer ran on a connection of the first."""
+    world = World(share=2)
+    for key in ("key", "key2", "key"):
+        caller = Caller(world, "primary", key)
+        await caller(Prepare("s1", False, "shape"))
+        await caller(Execute("s1", "1"))
+    assert [run[3] for run in world.primary.runs] == ["carp", "weld", "carp"]
+    assert world.primary.opened == 2
+
+
 async def test_an_unknown_prepared_name_is_refused():
     """A name that the caller has not prepared must not reach a target."""
     world = World()
