Switches: a write from before a switch is acknowledged by the lease from before it

Cause: a promoter waits until no host has work at the old primary, or until the leases of the others have expired. A host that is in touch and busy never reports idle, and each contact extends its lease, also after it learned of the switch. So its lease never expired.

Change: a host that learns of a switch records when its lease would end by the evidence from before, and acknowledges work of the ended epoch only until then; afterwards the outcome is unknown. The heartbeat that tells of the switch is counted as evidence only after its content was processed. A drain answer states whether the host knows of this switch and of no later one; the promoter counts its majority over those hosts and then waits for one lease. The promoter's own work counts like that of other hosts. The work is not cut off at that time, since the old primary may still refuse it as not run, and it then runs at the new one.

Why this works: what is acknowledged ended within the lease that the host held when it learned of the switch, and every promotion is ordered after all such leases have expired, or after all hosts have ended their work. libs/model checks this with a write that takes any time (switchover.py); its three new guards are removed in turn, and the checker finds the violation each time.

--- a/libs/entry/src/pistachiowinch/entry/host.py
+++ b/libs/entry/src/pistachiowinch/entry/host.py
@@ -167,7 +167,7 @@
             identity.peer_url,
             processor_cores=identity.processor_cores,
         )
-        self._primaries = PrimaryTable(log)
+        self._primaries = PrimaryTable(log, lambda: self.primary_lease.valid_until_s)
         registered = asyncio.Event()
         self._fleet_follower = PrefixFollower(
             FirstListingSource(self._relay, self._store, registered),
@@ -205,7 +205,7 @@
         )
         self.primary_lease = PrimaryLease(
             lambda: self._voter_set.recorded_voters,
-            self._membership.witnesses,
+            self._membership.witness_evidence_s,
             lambda: self._store_contact.as_of_s,
             lambda: self._hosts.listed_as_of_s,
             lambda: self._record_repair.is_complete,
@@ -563,9 +563,11 @@
 
     async def _on_drain_request(self, sender: str, request: DrainRequest) -> DrainAnswer:
         self._primaries.adopt(request.service, PrimaryRecord(request.epoch, ""), sender)
-        if self._primaries.epoch(request.service) > request.epoch:
-            return DrainAnswer(False)
-        return DrainAnswer(await self._drain(request.service, request.grace_ms / 1000.0))
+        is_idle = False
+        if self._primaries.epoch(request.service) == request.epoch:
+            is_idle = await self._drain(request.service, request.grace_ms / 1000.0)
+        is_current = self._primaries.epoch(request.service) == request.epoch
+        return DrainAnswer(is_idle and is_current, is_current)
 
     def _host_lease_s(self) -> float:
         is_partial = self._voter_set.is_partial
--- a/libs/fleet/src/pistachiowinch/fleet/messages.py
+++ b/libs/fleet/src/pistachiowinch/fleet/messages.py
@@ -25,12 +25,14 @@
 
 
 class DrainAnswer(msgspec.Struct, tag="ga", array_like=True, frozen=True):
-    """States whether the host has no work left in progress at the primary.
+    """States what a host knows and does after a drain request.
 
-    A host that knows a later switch answers false.
+    :param is_idle: whether the host has no work left in progress at the primary.
+    :param is_current: whether the host knows of the switch and of no later one.
     """
 
     is_idle: bool
+    is_current: bool = False
 
 
 class PrimaryNotice(msgspec.Struct, tag="pn", array_like=True, frozen=True):
--- a/libs/fleet/src/pistachiowinch/fleet/primary_lease.py
+++ b/libs/fleet/src/pistachiowinch/fleet/primary_lease.py
@@ -12,7 +12,8 @@
 or remove at any time.
 """
 
-from collections.abc import Callable
+import math
+from collections.abc import Callable, Mapping
 
 from pistachiowinch.base.clock import now_s
 
@@ -40,7 +41,7 @@
 
     :param voters: returns the names of the recorded voters; empty if none are recorded, which
         leaves only the store as evidence.
-    :param contacts: returns the names of hosts with evidence younger than the given seconds.
+    :param evidence_s: returns the loop times as of which the hosts' evidence holds, by host.
     :param store_as_of_s: returns the loop time as of which the store's records are known.
     :param listed_as_of_s: returns the loop time as of which the store is known to list this host
         as a member. A promoter does not wait for a host that is not listed.
@@ -52,7 +53,7 @@
     def __init__(
         self,
         voters: Callable[[], frozenset[str]],
-        contacts: Callable[[float], frozenset[str]],
+        evidence_s: Callable[[], Mapping[str, float]],
         store_as_of_s: Callable[[], float],
         listed_as_of_s: Callable[[], float],
         is_store_complete: Callable[[], bool] = lambda: True,
@@ -62,7 +63,7 @@
         self._is_forgetful = is_forgetful
         self._is_store_complete = is_store_complete
         self._voters = voters
-        self._contacts = contacts
+        self._evidence_s = evidence_s
         self._store_as_of_s = store_as_of_s
         self._listed_as_of_s = listed_as_of_s
 
@@ -74,12 +75,30 @@
     @property
     def has_majority(self) -> bool:
         """Whether evidence from a majority of the voters keeps the lease valid."""
-        return self.is_listed and includes_majority(self._voters(), self._contacts(PRIMARY_LEASE_S))
+        return self.is_listed and now_s() < self._majority_evidence_s() + PRIMARY_LEASE_S
 
     @property
     def is_valid(self) -> bool:
         """Whether work may be sent to a primary now."""
-        if self._is_forgetful() or not self.is_listed:
-            return False
-        is_store_fresh = now_s() - self._store_as_of_s() < PRIMARY_LEASE_S
-        return (is_store_fresh and self._is_store_complete()) or self.has_majority
+        return now_s() < self.valid_until_s
+
+    @property
+    def valid_until_s(self) -> float:
+        """Loop time at which the lease expires unless new evidence extends it.
+
+        Negative infinity if no evidence counts.
+        """
+        if self._is_forgetful():
+            return -math.inf
+        store_s = self._store_as_of_s() if self._is_store_complete() else -math.inf
+        evidence_s = max(store_s, self._majority_evidence_s())
+        listed_until_s = self._listed_as_of_s() + STORE_ABSENCE_LIMIT_S
+        return min(evidence_s + PRIMARY_LEASE_S, listed_until_s)
+
+    def _majority_evidence_s(self) -> float:
+        """Return the loop time as of which a majority of the voters has given evidence."""
+        voters = self._voters()
+        evidence_s = self._evidence_s()
+        dates_s = sorted((evidence_s[h] for h in voters if h in evidence_s), reverse=True)
+        needed = len(voters) // 2 + 1
+        return dates_s[needed - 1] if len(dates_s) >= needed else -math.inf
--- a/libs/fleet/src/pistachiowinch/fleet/switching.py
+++ b/libs/fleet/src/pistachiowinch/fleet/switching.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import enum
+import math
 from collections.abc import Callable, Set
 from dataclasses import dataclass
 from typing import NamedTuple, Protocol
@@ -176,7 +177,6 @@
         self._started_s = now_s()
         self._states: dict[str, TargetState] = {}
         self._answers: dict[str, StateAnswer] = {}
-        self._busy_hosts: set[str] = set()
 
     async def run(self) -> bool:
         """Perform the switch.
@@ -278,79 +278,81 @@
             await sleep_s(DRAIN_CHECK_INTERVAL_S)
 
     async def _drain_all_hosts(self) -> bool:
-        """Wait until no host can use the old primary."""
-        others = self._context.members() - {self._context.host}
+        """Wait until no work that was sent to the old primary can be acknowledged any more.
+
+        That is so once no host has work in progress there. Otherwise a majority of the voters has
+        to know of the switch, so that no host gains evidence without learning of it, and all leases
+        from before have to expire. A host may be in touch and never idle.
+        """
         grace_s = PLANNED_GRACE_S if self._request.is_planned else 0.0
-        requests = {host: asyncio.ensure_future(self._drain_host(host, grace_s)) for host in others}
-        own_drain = asyncio.ensure_future(self._context.drain(self._request.service, grace_s))
+        aware = {self._context.host}
+        requests = {self._context.host: asyncio.ensure_future(self._drain_own_work(grace_s))}
         current = asyncio.ensure_future(self._wait_for_members())
         # Voters that had stopped or were removed when the switch began.
         stopped: frozenset[str] = frozenset()
-        majority_since_s: float | None = None
+        majority_since_s = math.inf
         try:
             while now_s() - self._started_s < SWITCH_TIMEOUT_S:
                 members = self._context.members()
-                drained = {self._context.host} if own_drain.done() else set()
-                drained |= {host for host, request in requests.items() if request.done()}
+                for host in members - requests.keys():
+                    requests[host] = asyncio.ensure_future(self._drain_host(host, grace_s, aware))
                 if current.done():
                     stopped |= frozenset().union(*self._context.voter_groups()) - members
-                    drained |= stopped
-                if members <= drained and current.done():
-                    self._log_drain("all idle", own_drain, drained, members, 0.0)
-                    return True
-                if not current.done() or not self._has_majorities(frozenset(drained)):
+                if not current.done() or not self._has_majorities(frozenset(aware | stopped)):
                     # A member that returned may have extended other hosts' leases meanwhile.
-                    majority_since_s = None
-                elif majority_since_s is None:
-                    majority_since_s = now_s()
-                if (
-                    majority_since_s is not None
-                    and now_s() - majority_since_s > PRIMARY_LEASE_S + PRIMARY_LEASE_MARGIN_S
-                ):
-                    age_s = now_s() - majority_since_s
-                    self._log_drain("leases expired", own_drain, drained, members, age_s)
+                    majority_since_s = math.inf
+                else:
+                    majority_since_s = min(majority_since_s, now_s())
+                idle = {host for host, request in requests.items() if request.done()}
+                is_all_idle = current.done() and members | {self._context.host} <= idle | stopped
+                majority_age_s = max(now_s() - majority_since_s, 0.0)
+                if is_all_idle or majority_age_s > PRIMARY_LEASE_S + PRIMARY_LEASE_MARGIN_S:
+                    self._log_drain(is_all_idle, members - idle, aware, majority_age_s)
                     return True
-                for host in members - requests.keys() - {self._context.host}:
-                    requests[host] = asyncio.ensure_future(self._drain_host(host, grace_s))
                 await sleep_s(DRAIN_CHECK_INTERVAL_S)
             return False
         finally:
-            for request in (*requests.values(), own_drain, current):
+            for request in (*requests.values(), current):
                 request.cancel()
 
     def _log_drain(
-        self,
-        cause: str,
-        own_drain: "asyncio.Future[bool]",
-        drained: Set[str],
-        members: frozenset[str],
-        majority_age_s: float,
+        self, is_all_idle: bool, not_idle: frozenset[str], aware: Set[str], majority_age_s: float
     ) -> None:
         """Log which hosts were idle, and on which others only their leases were waited for."""
-        others = sorted(members - drained)
         self._log(
             "hosts_drained",
-            cause=cause,
-            idle=len(members & drained),
-            is_own_work_idle=own_drain.done() and own_drain.result(),
-            busy=[host for host in others if host in self._busy_hosts][:MAX_LOGGED_HOSTS],
-            silent=[host for host in others if host not in self._busy_hosts][:MAX_LOGGED_HOSTS],
+            cause="all idle" if is_all_idle else "leases expired",
+            idle=len(self._context.members() - not_idle),
+            busy=sorted(not_idle & aware)[:MAX_LOGGED_HOSTS],
+            silent=sorted(not_idle - aware)[:MAX_LOGGED_HOSTS],
             majority_age_s=round(majority_age_s, 3),
             took_s=round(now_s() - self._started_s, 3),
         )
 
-    def _has_majorities(self, drained: frozenset[str]) -> bool:
+    def _has_majorities(self, hosts: frozenset[str]) -> bool:
         voter_groups = self._context.voter_groups()
-        return all(includes_majority(voters, drained) for voters in voter_groups)
+        return all(includes_majority(voters, hosts) for voters in voter_groups)
 
-    async def _drain_host(self, host: str, grace_s: float) -> None:
+    async def _drain_own_work(self, grace_s: float) -> None:
+        """Return when this host has no work left in progress at the old primary."""
+        while not await self._context.drain(self._request.service, grace_s):
+            await sleep_s(POLL_INTERVAL_S)
+
+    async def _drain_host(self, host: str, grace_s: float, aware: set[str]) -> None:
+        """Return when a host has no work left in progress at the old primary.
+
+        :param aware: the host is added as soon as it states that it knows of this switch and of no
+            later one.
+        """
         request = DrainRequest(self._request.service, self._epoch, int(grace_s * 1000))
         while True:
             try:
                 answer = await self._context.link.request(host, request, DRAIN_TIMEOUT_S + grace_s)
-                self._busy_hosts.add(host)
-                if isinstance(answer, DrainAnswer) and answer.is_idle:
-                    return
+                if isinstance(answer, DrainAnswer):
+                    if answer.is_current:
+                        aware.add(host)
+                    if answer.is_idle:
+                        return
             except PeerUnreachable:
                 self._context.log.write("gate_unanswered", host=host, epoch=self._epoch)
             await sleep_s(POLL_INTERVAL_S)
@@ -544,15 +546,15 @@
         """
         await sleep_s(OUTCOME_RECORD_TIMEOUT_S)
         others = self._context.members() - {self._context.host}
-        requests = {host: asyncio.ensure_future(self._drain_host(host, 0.0)) for host in others}
+        confirming = {self._context.host}
+        requests = [
+            asyncio.ensure_future(self._drain_host(host, 0.0, confirming)) for host in others
+        ]
         try:
-            while True:
-                confirming = {host for host, request in requests.items() if request.done()}
-                if self._has_majorities(frozenset({*confirming, self._context.host})):
-                    return
+            while not self._has_majorities(frozenset(confirming)):
                 await sleep_s(DRAIN_CHECK_INTERVAL_S)
         finally:
-            for request in requests.values():
+            for request in requests:
                 request.cancel()
 
     async def _announce(self, record: PrimaryRecord, confirmed_by: str) -> None:
--- a/libs/model/src/pistachiowinch/model/switchover.py
+++ b/libs/model/src/pistachiowinch/model/switchover.py
@@ -2,7 +2,8 @@
 
 Host 0 records a switch in the store, hosts acknowledge it, and a promotion ends it. A host uses
 the old primary while it does not know of the switch and holds a primary lease: recent evidence
-from the store, or from a majority of the members. Time passes in steps, and evidence ages.
+from the store, or from a majority of the members. Time passes in steps, and evidence ages. A write
+of host 1 may take any time, so that the host knows of the switch and still has work in progress.
 """
 
 import enum
@@ -18,6 +19,8 @@
 
 _HOSTS = 3
 _PROMOTER = 0
+# The hosts other than the promoter are alike: work at one of them covers work at the other.
+_WORKER = 1
 _NUMBER_BITS = 3
 # Evidence counts for one step, that of peers only within two steps after the last store contact.
 _PRIMARY_LEASE_STEPS = 1
@@ -37,6 +40,9 @@
     EVIDENCE_IS_DATED = "evidence is dated with the time at which it was asked for"
     STORE_ABSENCE_LIMIT = "peers prove nothing to a host that was away from the store for long"
     REMOVE_LATE = "a member is removed only when it was away for longer than that"
+    WAIT_FOR_WORK = "a host with work in progress at the old primary does not count as stopped"
+    LEASE_FROM_BEFORE = "such work is acknowledged by evidence from before the switch only"
+    NEWS_IS_NO_EVIDENCE = "the answer that tells of the switch is no evidence from before it"
 
 
 class SwitchoverSpecification(GuardedSpecification[SwitchoverGuard]):
@@ -62,7 +68,9 @@
         """Return the variables and their sorts.
 
         ``away``: steps since a host's last store contact. ``stopped``: whether a host has stopped
-        using the old primary. Peers answer with their ``stopped``.
+        using the old primary. Peers answer with their ``stopped``. ``working``: whether a write of
+        the host is in progress there. ``lease``: steps since the evidence that the host had when it
+        learned of the switch. Both are kept for the worker only.
         """
         number, flag = z3.BitVecSort(_NUMBER_BITS), z3.BoolSort()
         sorts: dict[str, z3.SortRef] = {
@@ -76,6 +84,8 @@
             sorts[f"stopped{host}"] = flag
             sorts[f"acknowledged{host}"] = flag
             sorts[f"away{host}"] = number
+        sorts["working"] = flag
+        sorts["lease"] = number
         return sorts | evidence_variables(_HOSTS, number)
 
     def initial(self) -> Mapping[str, int | bool]:
@@ -97,6 +107,8 @@
             self._record_switch(state),
             self._promote(state),
             self._request_stop(state),
+            self._send_write(state),
+            self._end_write(state),
         ]
         for host in range(_HOSTS):
             actions.append(self._read_store(state, host))
@@ -115,13 +127,29 @@
         return {
             "no host uses the old primary after the promotion": z3.Implies(
                 state["promoted"], z3.Not(z3.Or(*users))
-            )
+            ),
+            "no host acknowledges a write of the old primary after the promotion": z3.Implies(
+                state["promoted"], z3.Not(self._may_acknowledge(state))
+            ),
         }
 
     def _uses_old_primary(self, state: State, host: int) -> z3.BoolRef:
         is_not_stopped = z3.Not(state[f"stopped{host}"])
         if not self._has_guard(SwitchoverGuard.LEASE_EXPIRES):
             return is_not_stopped
+        return z3.And(is_not_stopped, self._has_lease(state, host))
+
+    def _may_acknowledge(self, state: State) -> z3.BoolRef:
+        """Tell whether the write in progress would be acknowledged if it ended now."""
+        limit = z3.BitVecVal(_PRIMARY_LEASE_STEPS, _NUMBER_BITS)
+        has_lease = z3.ULE(state["lease"], limit)
+        if not self._has_guard(SwitchoverGuard.LEASE_FROM_BEFORE):
+            has_lease = self._has_lease(state, _WORKER)
+        is_stopped = state[f"stopped{_WORKER}"]
+        allowed = z3.If(is_stopped, has_lease, self._uses_old_primary(state, _WORKER))
+        return z3.And(state["working"], allowed)
+
+    def _has_lease(self, state: State, host: int) -> z3.BoolRef:
         limit = z3.BitVecVal(_PRIMARY_LEASE_STEPS, _NUMBER_BITS)
         by_store = z3.ULE(state[f"away{host}"], limit)
         # Without the store, a host needs a majority of the members that it knew: here, one peer.
@@ -132,10 +160,46 @@
                 state[f"away{host}"], z3.BitVecVal(_STORE_ABSENCE_LIMIT_STEPS, _NUMBER_BITS)
             )
             by_peers = z3.And(by_peers, is_within_limit)
-        return z3.And(is_not_stopped, z3.Or(by_store, by_peers))
+        return z3.Or(by_store, by_peers)
+
+    def _learn(
+        self, state: State, host: int, learns: z3.BoolRef, known: State
+    ) -> dict[str, z3.ExprRef]:
+        """Return the changes at a host that may learn of the switch.
+
+        :param known: state whose evidence the host's lease is computed from.
+        """
+        changes: dict[str, z3.ExprRef] = {f"stopped{host}": z3.Or(state[f"stopped{host}"], learns)}
+        if host == _WORKER:
+            is_first = z3.And(learns, z3.Not(state[f"stopped{host}"]))
+            changes["lease"] = z3.If(is_first, self._evidence_age(known, host), state["lease"])
+        return changes
+
+    def _evidence_age(self, state: State, host: int) -> z3.ExprRef:
+        """Return the steps since the evidence on which the host's lease relies."""
+        away = state[f"away{host}"]
+        first, second = (state[f"age{host}{peer}"] for peer in range(_HOSTS) if peer != host)
+        by_peers = z3.If(z3.ULE(first, second), first, second)
+        # The limit of the store's absence ends the lease as evidence of this age does.
+        spare = z3.BitVecVal(_STORE_ABSENCE_LIMIT_STEPS - _PRIMARY_LEASE_STEPS, _NUMBER_BITS)
+        absence = z3.If(z3.UGT(away, spare), away - spare, z3.BitVecVal(0, _NUMBER_BITS))
+        by_peers = z3.If(z3.UGT(absence, by_peers), absence, by_peers)
+        return z3.If(z3.ULE(away, by_peers), away, by_peers)
+
+    def _send_write(self, state: State) -> Action:
+        return Action(
+            f"host {_WORKER} sends a write",
+            z3.And(self._uses_old_primary(state, _WORKER), z3.Not(state["working"])),
+            {"working": z3.BoolVal(True)},
+        )
+
+    def _end_write(self, state: State) -> Action:
+        return Action(
+            f"the write of host {_WORKER} ends", state["working"], {"working": z3.BoolVal(False)}
+        )
 
     def _tick(self, state: State) -> Action:
-        prefixes = ("asked", "age", "since", "away")
+        prefixes = ("asked", "age", "since", "away", "lease")
         updates = {
             name: age(state[name], _MAX_AGE_STEPS) for name in state if name.startswith(prefixes)
         }
@@ -148,7 +212,7 @@
             z3.Not(state["promoted"]),
             {
                 f"away{host}": z3.BitVecVal(0, _NUMBER_BITS),
-                f"stopped{host}": z3.Or(state[f"stopped{host}"], state["recorded"]),
+                **self._learn(state, host, state["recorded"], state),
                 f"member{host}": z3.BoolVal(True),
                 "since_majority": self._since_majority(state, {f"member{host}": z3.BoolVal(True)}),
             },
@@ -196,7 +260,7 @@
             f"host {host} stops using the old primary and acknowledges",
             z3.And(state["asking"], z3.Not(state[f"acknowledged{host}"])),
             {
-                f"stopped{host}": z3.BoolVal(True),
+                **self._learn(state, host, z3.BoolVal(True), state),
                 **changes,
                 "since_majority": self._since_majority(state, changes),
             },
@@ -214,7 +278,7 @@
     def _promote(self, state: State) -> Action:
         all_acknowledged = z3.And(
             *[
-                z3.Or(z3.Not(state[f"member{host}"]), state[f"acknowledged{host}"])
+                z3.Or(z3.Not(state[f"member{host}"]), self._is_idle(state, host))
                 for host in range(_HOSTS)
             ]
         )
@@ -228,6 +292,12 @@
             "the replica is promoted", z3.And(*conditions), {"promoted": z3.BoolVal(True)}
         )
 
+    def _is_idle(self, state: State, host: int) -> z3.BoolRef:
+        """Tell whether a host has acknowledged and has no work left in progress."""
+        if host != _WORKER or not self._has_guard(SwitchoverGuard.WAIT_FOR_WORK):
+            return state[f"acknowledged{host}"]
+        return z3.And(state[f"acknowledged{host}"], z3.Not(state["working"]))
+
     def _answer(self, state: State, host: int, peer: int) -> Action:
         """Send a request and its answer in one step; a delay would only make the evidence older."""
         answer = z3.If(
@@ -247,11 +317,14 @@
         if not self._has_guard(SwitchoverGuard.EVIDENCE_IS_DATED):
             date = z3.BitVecVal(0, _NUMBER_BITS)
         is_newer = z3.ULT(date, state[f"age{host}{peer}"])
+        known = state
+        if not self._has_guard(SwitchoverGuard.NEWS_IS_NO_EVIDENCE):
+            known = {**state, f"age{host}{peer}": date}
         return Action(
             f"host {host} receives the answer of host {peer}",
             z3.And(answer != _NO_ANSWER, is_newer),
             {
                 f"age{host}{peer}": date,
-                f"stopped{host}": z3.Or(state[f"stopped{host}"], answer == _STOPPED),
+                **self._learn(state, host, answer == _STOPPED, known),
             },
         )
--- a/libs/peering/src/pistachiowinch/peering/membership.py
+++ b/libs/peering/src/pistachiowinch/peering/membership.py
@@ -185,12 +185,24 @@
 
     def witnesses(self, within_s: float) -> frozenset[str]:
         """Return the contacts whose evidence counts for primary leases."""
+        oldest_s = now_s() - within_s
         return frozenset(
-            host
-            for host in self.contacts(within_s)
-            if host not in self._records or self._records[host].last.heartbeat.is_witness
+            host for host, date_s in self.witness_evidence_s().items() if date_s > oldest_s
         )
 
+    def witness_evidence_s(self) -> dict[str, float]:
+        """Return the dates of the evidence that counts for primary leases, by host.
+
+        The evidence of this host itself is always fresh.
+        """
+        dates_s = {
+            host: record.evidence_s
+            for host, record in self._records.items()
+            if record.evidence_s is not None and record.last.heartbeat.is_witness
+        }
+        dates_s[self._identity.host] = now_s()
+        return dates_s
+
     def set_members(
         self,
         members: Iterable[HostIdentity],
@@ -370,7 +382,7 @@
             self._drop("unknown_host")
         elif self._accept(record, heartbeat):
             record.note_full(heartbeat)
-            self._heartbeats.on_next(record.last)
+            self._process(record)
 
     def _receive_short(self, sender: str, short: ShortHeartbeat) -> None:
         record = self._records.get(sender)
@@ -383,7 +395,12 @@
             self._drop("unknown_content")
             self._reply(sender)
         elif self._accept(record, heartbeat):
-            self._heartbeats.on_next(record.last)
+            self._process(record)
+
+    def _process(self, record: PeerRecord) -> None:
+        """Let all parts process the last heartbeat, and then count its evidence."""
+        self._heartbeats.on_next(record.last)
+        record.count_evidence()
 
     def _accept(self, record: PeerRecord, heartbeat: Heartbeat) -> bool:
         reason = record.accept(heartbeat, self._incarnations, now_s())
--- a/libs/peering/src/pistachiowinch/peering/peer_record.py
+++ b/libs/peering/src/pistachiowinch/peering/peer_record.py
@@ -106,6 +106,8 @@
     ) -> str | None:
         """Accept a heartbeat if it is newer than the accepted ones.
 
+        Its evidence counts only after :meth:`count_evidence`.
+
         :param heartbeat: a heartbeat of this peer.
         :param incarnations: the incarnations of this run of this host, the present one last. An
             echo of an earlier one shows that the heartbeat is new, but is no evidence.
@@ -121,13 +123,20 @@
             return reason
         self._newest_echo = max(self._newest_echo, echo)
         evidence_s = self._sent_s.get(echo)
-        if evidence_s is not None:
-            self.evidence_s = max(evidence_s, self.evidence_s or evidence_s)
         # A missing or unknown echo shows that the peer restarted or removed this host meanwhile.
         self._last_echo = 0 if evidence_s is None else echo
         self.last = ReceivedHeartbeat(heartbeat, now_s, evidence_s)
         return None
 
+    def count_evidence(self) -> None:
+        """Count the evidence of the last heartbeat, once its content has been processed.
+
+        Until then, what this host knows is older than the evidence.
+        """
+        evidence_s = None if self.last is None else self.last.evidence_s
+        if evidence_s is not None:
+            self.evidence_s = max(evidence_s, self.evidence_s or evidence_s)
+
     def note_full(self, heartbeat: Heartbeat) -> None:
         """Keep an accepted full heartbeat to restore short ones from."""
         self._last_full_heartbeat = heartbeat
--- a/libs/sessions/src/pistachiowinch/sessions/context.py
+++ b/libs/sessions/src/pistachiowinch/sessions/context.py
@@ -1,11 +1,13 @@
 """Dependencies that all sessions of one host share."""
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol
 
 from returns.result import Result
 
+from pistachiowinch.base.clock import now_s
 from pistachiowinch.base.codes import Refusal
 from pistachiowinch.base.decisions import DecisionLog
 from pistachiowinch.base.metrics import Metrics
@@ -32,6 +34,9 @@
     def primary(self, service: str) -> str:
         """Return the primary's name; empty while none is known."""
 
+    def acknowledge_until_s(self, service: str, epoch: int) -> float:
+        """Return the loop time until which work that was sent in an epoch may be acknowledged."""
+
 
 class RateLimiter(Protocol):
     """Enforces the customers' rate limits over all hosts."""
@@ -99,24 +104,28 @@
         self.outages.update(has_primary, has_target)
 
     def may_acknowledge(self, service: str, sent_epoch: int) -> bool:
-        """Whether a commit may be acknowledged to the caller.
+        """Whether a commit may be acknowledged to the caller, now that its answer is there.
 
-        A switch that has begun promotes no target until this host's exchanges have ended or its
-        lease has expired, so a commit confirmed by then preceded the promotion.
+        A promoter orders no target before this host's exchanges have ended, or the lease that it
+        held when it learned of the switch has expired. A commit that is known to be there by then
+        preceded the promotion.
 
         :param sent_epoch: number of the latest switch when the commit was sent.
         """
         has_lease = self.has_lease()
         epoch = self.primaries.epoch(service)
-        may_acknowledge = has_lease and (epoch == sent_epoch or not self.primaries.primary(service))
+        left_s = self.primaries.acknowledge_until_s(service, sent_epoch) - now_s()
+        is_replaced = epoch != sent_epoch and bool(self.primaries.primary(service))
+        may_acknowledge = has_lease and left_s > 0.0 and not is_replaced
         if epoch != sent_epoch or not has_lease:
             self.log.write(
                 "write_ended_in_switch",
                 service=service,
                 sent_epoch=sent_epoch,
                 epoch=epoch,
-                primary=self.primaries.primary(service),
+                is_replaced=is_replaced,
                 has_lease=has_lease,
+                lease_left_s=round(left_s, 3) if math.isfinite(left_s) else None,
                 is_acknowledged=may_acknowledge,
             )
         return may_acknowledge
--- a/tests/fleet/switch_support.py
+++ b/tests/fleet/switch_support.py
@@ -16,6 +16,7 @@
 __all__ = ["FakeGroup", "OtherHosts", "World"]
 
 PROMOTE_S = 0.3
+DRAIN_S = 0.001
 
 
 class OtherHosts:
@@ -43,7 +44,7 @@
         is_idle = now_s() >= self.busy_until_s.get(host, 0.0)
         if is_idle:
             self.drained.append(host)
-        return DrainAnswer(is_idle)
+        return DrainAnswer(is_idle, True)
 
     async def send(self, host, message):
         """Record a notice of the new primary."""
@@ -117,6 +118,7 @@
         self.table = PrimaryTable(log)
         self.table.set_registry_primary("s", "a")
         self.drained: list[float] = []
+        self.own_work_until_s = 0.0
         self.revision_lead = 0
         self.refreshed_s: list[float] = []
         self.context = SwitchContext(
@@ -136,7 +138,8 @@
 
     async def _drain(self, service: str, grace_s: float) -> bool:
         self.drained.append(grace_s)
-        return True
+        await asyncio.sleep(DRAIN_S)
+        return now_s() >= self.own_work_until_s
 
     def _refresh_members(self) -> None:
         self.refreshed_s.append(now_s())
--- a/tests/fleet/test_decisions.py
+++ b/tests/fleet/test_decisions.py
@@ -1,6 +1,7 @@
 """Tests of decisions without I/O: primary leases, order of records and reasons to switch."""
 
 import asyncio
+import math
 
 import pytest
 
@@ -40,7 +41,7 @@
     loop = asyncio.get_running_loop()
     read_s = loop.time()
     lease = PrimaryLease(
-        lambda: frozenset("abc"), lambda within_s: frozenset("a"), lambda: read_s, lambda: read_s
+        lambda: frozenset("abc"), lambda: {"a": now_s()}, lambda: read_s, lambda: read_s
     )
     assert lease.is_valid
     await asyncio.sleep(PRIMARY_LEASE_S + 0.01)
@@ -52,7 +53,9 @@
     loop = asyncio.get_running_loop()
     read_s = loop.time()
     hosts = frozenset("abc")
-    lease = PrimaryLease(lambda: hosts, lambda within_s: hosts, lambda: read_s, lambda: read_s)
+    lease = PrimaryLease(
+        lambda: hosts, lambda: dict.fromkeys(hosts, now_s()), lambda: read_s, lambda: read_s
+    )
     await asyncio.sleep(STORE_ABSENCE_LIMIT_S - 0.1)
     assert lease.is_valid
     await asyncio.sleep(0.2)
@@ -63,7 +66,12 @@
     """ONE: found by the model; a promoter does not wait for a host that is not a member."""
     hosts = frozenset("abc")
     listed_as_of_s = {"a": float("-inf")}
-    lease = PrimaryLease(lambda: hosts, lambda _: hosts, now_s, lambda: listed_as_of_s["a"])
+    lease = PrimaryLease(
+        lambda: hosts,
+        lambda: dict.fromkeys(hosts, now_s()),
+        now_s,
+        lambda: listed_as_of_s["a"],
+    )
     assert not lease.is_valid
     assert not lease.has_majority
     listed_as_of_s["a"] = now_s()
@@ -75,12 +83,42 @@
 async def test_without_recorded_voters_only_the_store_extends_the_lease():
     """ONE: hosts of a new fleet may each know other members, and majorities of them differ."""
     read_s = now_s()
-    lease = PrimaryLease(frozenset, lambda _: frozenset("abc"), lambda: read_s, lambda: read_s)
+    lease = PrimaryLease(
+        frozenset, lambda: dict.fromkeys("abc", now_s()), lambda: read_s, lambda: read_s
+    )
     assert lease.is_valid
     await asyncio.sleep(PRIMARY_LEASE_S + 0.01)
     assert not lease.is_valid
 
 
+async def test_the_lease_lasts_as_long_as_the_oldest_evidence_of_its_freshest_majority():
+    """ONE: a time beyond that would be longer than a promoter waits."""
+    evidence_s = {"a": now_s(), "b": now_s() - 0.3, "c": now_s() - 0.5}
+    lease = PrimaryLease(lambda: frozenset("abcde"), lambda: evidence_s, lambda: -math.inf, now_s)
+    assert lease.valid_until_s == pytest.approx(now_s() + PRIMARY_LEASE_S - 0.5)
+    del evidence_s["c"]
+    assert lease.valid_until_s == -math.inf
+
+
+async def test_an_epoch_ends_with_the_lease_at_its_first_switch():
+    """ONE: work of an epoch was acknowledged by evidence that came after its end was known."""
+    lease_until_s = [now_s() + 0.8]
+    table = PrimaryTable(DecisionLog("test"), lambda: lease_until_s[0])
+    assert table.acknowledge_until_s("s", 0) == math.inf
+    table.adopt("s", PrimaryRecord(1, ""), "peer")
+    first_s, lease_until_s[0] = lease_until_s[0], now_s() + 1.5
+    table.adopt("s", PrimaryRecord(1, "b"), "peer")
+    table.adopt("s", PrimaryRecord(2, ""), "peer")
+    assert table.acknowledge_until_s("s", 0) == first_s
+    assert table.acknowledge_until_s("s", 1) == lease_until_s[0]
+    assert table.acknowledge_until_s("s", 2) == math.inf
+    assert table.acknowledge_until_s("t", 0) == math.inf
+    await asyncio.sleep(1.0)
+    table.adopt("s", PrimaryRecord(4, ""), "store")
+    assert table.acknowledge_until_s("s", 0) == -math.inf
+    assert table.acknowledge_until_s("s", 3) == -math.inf
+
+
 async def test_older_records_are_not_adopted():
     """ONE: a delayed heartbeat must not restore an old primary."""
     table = PrimaryTable(DecisionLog("test"))
--- a/tests/fleet/test_random_promoters.py
+++ b/tests/fleet/test_random_promoters.py
@@ -153,7 +153,8 @@
             raise PeerUnreachable(host)
         table = self.site.hosts[host].table
         table.adopt(message.service, PrimaryRecord(message.epoch, ""), self.name)
-        return DrainAnswer(table.epoch(message.service) <= message.epoch)
+        is_current = table.epoch(message.service) <= message.epoch
+        return DrainAnswer(is_current, is_current)
 
     async def send(self, host, message):
         """Deliver a notice of the new primary."""
--- a/tests/fleet/test_record_repair.py
+++ b/tests/fleet/test_record_repair.py
@@ -5,6 +5,7 @@
 import pytest
 from fleet.store_support import put
 
+from pistachiowinch.base.clock import now_s
 from pistachiowinch.base.decisions import DecisionLog
 from pistachiowinch.fleet.following import PrefixFollower
 from pistachiowinch.fleet.primaries import PrimaryTable
@@ -40,7 +41,7 @@
         self.contacts: frozenset[str] = frozenset()
         self.lease = PrimaryLease(
             lambda: frozenset("xyz"),
-            lambda within_s: self.contacts,
+            lambda: dict.fromkeys(self.contacts, now_s()),
             lambda: self.follower.as_of_s,
             lambda: self.follower.as_of_s,
             lambda: self.repair.is_complete,
--- a/tests/fleet/test_switching.py
+++ b/tests/fleet/test_switching.py
@@ -8,10 +8,12 @@
 from fleet.switch_support import World
 
 from pistachiowinch.base.clock import now_s
+from pistachiowinch.fleet.messages import DrainAnswer
 from pistachiowinch.fleet.primary_lease import PRIMARY_LEASE_S
 from pistachiowinch.fleet.records import PrimaryRecord, encode_record, group_key
 from pistachiowinch.fleet.switching import (
     ORDER_EFFECT_S,
+    PRIMARY_LEASE_MARGIN_S,
     STATE_TIMEOUT_S,
     PrimarySwitch,
     PromoteAnswer,
@@ -127,6 +129,45 @@
     assert world.group.promotions[0][2] >= 0.5
 
 
+async def test_the_switch_waits_for_the_promoters_own_work():
+    """ONE: the promoter's own drain counted as done although work was left."""
+    world = World()
+    world.own_work_until_s = 0.5
+    assert await PrimarySwitch(world.context, CRASH_REQUEST).run()
+    assert world.group.promotions[0][2] >= 0.5
+
+
+async def test_a_host_that_is_in_touch_and_never_idle_delays_a_switch_by_one_lease():
+    """ONE, RECOVER: such a host acknowledges until its lease from before the switch is over."""
+    world = World()
+    world.hosts.busy_until_s["q"] = 60.0
+    world.own_work_until_s = 60.0
+    assert await PrimarySwitch(world.context, CRASH_REQUEST).run()
+    at_s = world.group.promotions[0][2]
+    assert PRIMARY_LEASE_S + PRIMARY_LEASE_MARGIN_S <= at_s < PRIMARY_LEASE_S + 0.3
+
+
+async def test_slow_statements_at_most_hosts_do_not_hold_up_a_switch():
+    """RECOVER: hosts that know of the switch were waited for until they had no work left."""
+    world = World()
+    world.hosts.busy_until_s = dict.fromkeys("qrst", 60.0)
+    assert await PrimarySwitch(world.context, CRASH_REQUEST).run()
+    assert world.group.promotions[0][2] < PRIMARY_LEASE_S + 0.3
+
+
+async def test_hosts_that_know_a_later_switch_do_not_count():
+    """ONE: their evidence says nothing of this switch, which another host has continued."""
+    world = World()
+
+    async def request(host, message, timeout_s):
+        await asyncio.sleep(0.001)
+        return DrainAnswer(False, False)
+
+    world.hosts.request = request
+    assert not await PrimarySwitch(world.context, CRASH_REQUEST).run()
+    assert not world.group.promotions
+
+
 async def test_the_next_candidate_is_tried_if_the_first_is_not_running():
     """A response with status 409 from the platform must not end the switch."""
     world = World()
--- a/tests/peering/test_membership.py
+++ b/tests/peering/test_membership.py
@@ -111,6 +111,22 @@
     assert a.witnesses(0.5) == {"a", "b", "c"}
 
 
+@with_site
+async def test_evidence_counts_only_after_the_heartbeat_was_processed(site):
+    """ONE: the heartbeat that told of a switch extended the lease from before the switch."""
+    a = site.members["a"]
+    dates_s = []
+
+    def note_dates(received):
+        if received.heartbeat.host == "b":
+            dates_s.append((a.witness_evidence_s()["b"], received.evidence_s))
+
+    a.heartbeats.subscribe(note_dates)
+    await sleep_s(1.0)
+    assert len(dates_s) >= 3 and all(counted_s < new_s for counted_s, new_s in dates_s)
+    assert a.witness_evidence_s()["b"] == dates_s[-1][1]
+
+
 @with_site
 async def test_delayed_heartbeats_are_accepted_but_are_not_fresh_evidence(site):
     a = site.members["a"]
--- a/tests/sessions/fake_group.py
+++ b/tests/sessions/fake_group.py
@@ -1,6 +1,7 @@
 """An in-memory database group, and one host's sessions over it."""
 
 import asyncio
+import math
 from dataclasses import dataclass, field
 
 from returns.result import Failure, Success
@@ -215,11 +216,24 @@
         """Set the first primary."""
         self.name = primary
         self.number = 0
+        self.ended_until_s: dict[int, float] = {}
 
     def epoch(self, service):
         """Return the number of switches."""
         return self.number
 
+    def begin_switch(self, lease_left_s):
+        """Learn of a switch while this host's lease lasts for some more seconds."""
+        self.ended_until_s[self.number] = now_s() + lease_left_s
+        self.number += 1
+        self.name = ""
+
+    def acknowledge_until_s(self, service, epoch):
+        """Return until when work of an epoch may be acknowledged."""
+        if epoch == self.number:
+            return math.inf
+        return self.ended_until_s.get(epoch, -math.inf)
+
     def primary(self, service):
         """Return the primary's name."""
         return self.name
--- a/tests/sessions/test_moved_routes.py
+++ b/tests/sessions/test_moved_routes.py
@@ -1,5 +1,7 @@
 """Sessions whose route is led to another service, and back, by versions of the configuration."""
 
+import math
+
 import pytest
 from sessions.fake_group import SERVICE, FakeTarget, World
 from sessions.test_session import COMMIT, READ, WRITE, Caller
@@ -27,6 +29,10 @@
         """Return the number of the latest switch."""
         return self.epochs[service]
 
+    def acknowledge_until_s(self, service, epoch):
+        """Return infinity, since no switch ends an epoch here."""
+        return math.inf
+
     def primary(self, service):
         """Return the primary's name."""
         return self.names[service]
--- a/tests/sessions/test_pool_hosts.py
+++ b/tests/sessions/test_pool_hosts.py
@@ -280,6 +280,21 @@
     assert served(await asyncio.gather(*waiting)) >= 2
 
 
+async def test_a_slow_write_at_a_pool_host_is_judged_by_the_lease_of_the_callers_host():
+    """ONE: the answer of a pool host was acknowledged long after the caller's host had learned of a
+    switch.
+    """
+    shared = SharedWorlds()
+    world = shared.other_than(shared.pool_host("a"))
+    world.primary.work_s = 0.8
+    task = asyncio.ensure_future(Caller(world, "primary")(WRITE))
+    await asyncio.sleep(0.1)
+    world.primaries.begin_switch(0.5)
+    reply = await task
+    assert isinstance(reply, Refusal) and reply.code is codes.OUTCOME_UNKNOWN
+    assert len(world.primary.runs) == 1
+
+
 async def test_a_pool_host_that_sees_another_primary_does_not_write():
     """STALE and ONE: a host that has missed a switch hands a write to the old primary."""
     shared = SharedWorlds()
--- a/tests/sessions/test_session.py
+++ b/tests/sessions/test_session.py
@@ -168,6 +168,72 @@
     assert code(await task) is codes.OUTCOME_UNKNOWN
 
 
+async def slow_write(world: World, switches_lease_left_s: tuple[float, ...]):
+    """Write for 0.8 s, and learn of switches from 0.1 s on; this host stays in touch throughout."""
+    world.primary.work_s = 0.8
+    task = asyncio.ensure_future(Caller(world, "primary")(WRITE))
+    await asyncio.sleep(0.1)
+    for lease_left_s in switches_lease_left_s:
+        world.primaries.begin_switch(lease_left_s)
+    return await task
+
+
+async def test_a_slow_write_is_not_acknowledged_by_a_lease_from_after_the_switch():
+    """ONE: a host that stayed in touch acknowledged a commit of the old primary though its lease
+    from before the switch, for which the promoter had waited, was over.
+    """
+    assert code(await slow_write(World(), (0.5,))) is codes.OUTCOME_UNKNOWN
+
+
+async def test_a_slow_write_is_acknowledged_within_the_lease_from_before_the_switch():
+    """A write that ended before any promotion was reported as unknown."""
+    assert isinstance(await slow_write(World(), (0.75,)), CompletedStatement)
+
+
+async def test_a_second_switch_does_not_extend_the_time_of_a_write_from_before_the_first():
+    """ONE: the lease at the later switch counted, although the first one had ended the epoch."""
+    assert code(await slow_write(World(), (0.5, 2.0))) is codes.OUTCOME_UNKNOWN
+
+
+async def test_a_slow_commit_is_not_acknowledged_by_a_lease_from_after_the_switch():
+    """ONE: COMMIT of a transaction took as long as the single write."""
+    world = World()
+    caller = Caller(world, "primary")
+    await caller(Begin(False))
+    await caller(WRITE)
+    world.primary.work_s = 0.8
+    task = asyncio.ensure_future(caller(COMMIT))
+    await asyncio.sleep(0.1)
+    world.primaries.begin_switch(0.5)
+    assert code(await task) is codes.OUTCOME_UNKNOWN
+
+
+async def test_a_slow_read_of_the_old_primary_is_still_delivered():
+    """A read that began before the switch is correct, and its answer was held back."""
+    world = World()
+    world.primary.work_s = 0.45
+    task = asyncio.ensure_future(Caller(world, "primary")(READ))
+    await asyncio.sleep(0.1)
+    world.primaries.begin_switch(0.1)
+    assert isinstance(await task, CompletedStatement)
+
+
+async def test_a_write_that_the_old_primary_refuses_late_runs_at_the_new_one():
+    """A write that waited at the old primary was reported as unknown though it had not run."""
+    world = World()
+    world.primary.work_s = 0.5
+    world.primary.refuse = [ReasonRefused.READ_ONLY]
+    task = asyncio.ensure_future(Caller(world, "primary")(WRITE))
+    await asyncio.sleep(0.1)
+    world.primaries.begin_switch(0.2)
+    await asyncio.sleep(0.3)
+    world.replicas[0].is_primary = True
+    world.primaries.name = "b"
+    assert isinstance(await task, CompletedStatement)
+    assert [run[0] for run in world.replicas[0].runs] == ["write"]
+    assert not world.primary.runs
+
+
 async def test_a_transaction_stays_on_one_connection():
     """PINNED: all statements of a transaction must run on the connection that began it."""
     world = World()
