Switches: a target is promoted only if it has all acknowledged commits, where that can be known

One replica received nothing for a while, the other one served all reads and was slow, and the primary crashed; the replica that had received nothing was promoted.

Cause: a target that did not answer within 0.35 s, or refused with BUSY, counted as absent, and the longest of the other logs was ordered. Nothing asked whether the known logs sufficed; syncReplicas was not read from the configuration. A target that as many hosts suspected as the primary was no candidate, and after an order in vain the next shorter log was ordered.

Change: with k synchronous replicas a target is ordered only if its log covers those of all but k - 1 replicas, or that of the replaced primary, or if it was ordered before. The record of the switch names the replicas by address, so that one which is removed meanwhile, or returns under another name, still counts. Until then the promoter asks each target again, for up to 2 s at a time, since a state request that is given up starts again at the end of the target's queue (`logs_awaited`). Without synchronous replication choice and times are as before.

Why this works: an acknowledged commit is in k of n replicas, so that any n - k + 1 of them have it; a log has all entries before its last one.

--- a/libs/entry/src/pistachiowinch/entry/group_views.py
+++ b/libs/entry/src/pistachiowinch/entry/group_views.py
@@ -135,6 +135,7 @@
             is_primary_leaving=self._view.is_leaving(primary),
             candidates=candidates,
             targets=tuple(targets),
+            sync_replicas=self._view.configuration.sync_replicas.get(service, 0),
             suspecting_hosts=len(suspecting),
             reporting_hosts=len(reporting),
             suspecting_zones=len({zones.get(host) for host in suspecting}),
--- a/libs/entry/src/pistachiowinch/entry/host.py
+++ b/libs/entry/src/pistachiowinch/entry/host.py
@@ -335,6 +335,7 @@
             voter_groups=lambda: self._voter_set.voter_groups,
             drain=self._drain,
             log=log,
+            addresses=self._addresses,
         )
         self._group_views = GroupViews(
             identity.host,
@@ -600,6 +601,9 @@
     async def _drain(self, service: str, grace_s: float) -> bool:
         return await self._work.drain(service, grace_s, grace_s + DRAIN_SLACK_S)
 
+    def _addresses(self, service: str) -> dict[str, str]:
+        return {name: target.address for name, target in self.view.targets(service).items()}
+
     def _switchable_views(self) -> list[ServiceView]:
         is_able = self._voter_set.is_voter and not self.session_context.is_stopping
         if not is_able or self._fleet_follower.is_broken or not self._can_complete_switch():
--- a/libs/fleet/src/pistachiowinch/fleet/promotion_choice.py
+++ b/libs/fleet/src/pistachiowinch/fleet/promotion_choice.py
@@ -7,6 +7,9 @@
 That a target does not answer says nothing about its promotion. If the newest primary may be silent,
 a switch therefore orders a promotion of its own. It begins a later term, and the platform accepts
 it without effect only if the target is the newest primary.
+
+Load pattern: a service replicates synchronously, and one replica receives nothing for a while. The
+primary crashes, and the replica that has its commits answers late, because it serves all reads.
 """
 
 from collections.abc import Collection, Mapping
@@ -21,9 +24,11 @@
     "PromotionOrders",
     "SwitchProgress",
     "UseTarget",
+    "WaitForLogs",
     "WaitForOrder",
     "WaitForTargets",
     "choose_primary",
+    "has_acknowledged_commits",
     "highest_term",
 ]
 
@@ -61,6 +66,9 @@
     :param orders: the last order, of this switch or of an earlier one.
     :param is_settled: whether that order has taken effect or never will.
     :param failed: targets that this switch has ordered in vain.
+    :param sync_replicas: replicas that have received a commit before it is acknowledged.
+    :param replicas: replicas that the replaced primary had; those without a known name stand under
+        their address.
     """
 
     states: Mapping[str, TargetState]
@@ -70,6 +78,8 @@
     orders: PromotionOrders
     is_settled: bool
     failed: Collection[str] = frozenset()
+    sync_replicas: int = 0
+    replicas: Collection[str] = ()
 
 
 @dataclass(frozen=True)
@@ -104,7 +114,12 @@
     """No target answers that could be used or ordered."""
 
 
-Choice = UseTarget | OrderTarget | WaitForOrder | WaitForTargets
+@dataclass(frozen=True)
+class WaitForLogs:
+    """The logs that are known may lack acknowledged commits."""
+
+
+Choice = UseTarget | OrderTarget | WaitForOrder | WaitForTargets | WaitForLogs
 
 
 def choose_primary(progress: SwitchProgress) -> Choice:
@@ -120,11 +135,11 @@
     if leader is not None:
         return UseTarget(leader, "leads the highest term, and no silent target can be newer")
     best = _best_candidate(progress)
-    if best is not None:
+    if best is not None and has_acknowledged_commits(progress, best):
         return OrderTarget(best, "has the longest log")
     if _leader(progress.states, (progress.old_primary,)) is not None:
         return UseTarget(progress.old_primary, "still leads, and no silent target can be newer")
-    return WaitForTargets()
+    return WaitForTargets() if best is None else WaitForLogs()
 
 
 def highest_term(states: Mapping[str, TargetState]) -> int:
@@ -132,6 +147,34 @@
     return max((state.term for state in states.values()), default=0)
 
 
+def has_acknowledged_commits(progress: SwitchProgress, target: str) -> bool:
+    """Return whether the log of a target is known to have all acknowledged commits.
+
+    Without synchronous replication nothing can be known, and the longest known log has to do. With
+    it, a commit is in the log of the replaced primary and in those of ``sync_replicas`` of its
+    replicas, so one of the known logs has it if fewer than ``sync_replicas`` are unknown. Targets
+    that were ordered before have been chosen by the same rule.
+    """
+    if progress.sync_replicas <= 0:
+        return True
+    orders = progress.orders
+    possible = {orders.target, *(orders.possible_primaries or ())} - {None, ""}
+    if target in possible:
+        return True
+    covered = {name for name in progress.states if _is_covered(progress.states, name, target)}
+    if possible and orders.possible_primaries is not None and possible <= covered:
+        return True
+    replicas = set(progress.replicas)
+    needed = max(len(replicas) - progress.sync_replicas + 1, 1)
+    return len(replicas & covered) >= needed
+
+
+def _is_covered(states: Mapping[str, TargetState], name: str, by: str) -> bool:
+    """Return whether the log of a target is known, and another has all of it."""
+    received, limit = states[name].received, states[by].received
+    return received is not None and limit is not None and received <= limit
+
+
 def _best_candidate(progress: SwitchProgress) -> str | None:
     """Return the candidate with the longest log, or None.
 
@@ -159,6 +202,8 @@
         best = progress.old_primary
     if best is None:
         return WaitForTargets()
+    if best != progress.old_primary and not has_acknowledged_commits(progress, best):
+        return WaitForLogs()
     return OrderTarget(best, "has the longest log; a target that does not answer may be primary")
 
 
--- a/libs/fleet/src/pistachiowinch/fleet/records.py
+++ b/libs/fleet/src/pistachiowinch/fleet/records.py
@@ -88,6 +88,8 @@
         has taken over when it is primary of a later one. None if unknown.
     :param possible_primaries: targets of which one leads unless the last order was executed; None
         if unknown.
+    :param replicas: addresses of the replicas when the primary was replaced; a target that is
+        started again may get another name, but keeps address and log. None if unknown.
     """
 
     epoch: int
@@ -96,6 +98,7 @@
     ordered_by: str = ""
     term_before: int | None = None
     possible_primaries: tuple[str, ...] | None = ()
+    replicas: tuple[str, ...] | None = None
 
 
 class VoterSetRecord(msgspec.Struct, frozen=True):
--- a/libs/fleet/src/pistachiowinch/fleet/supervision.py
+++ b/libs/fleet/src/pistachiowinch/fleet/supervision.py
@@ -43,6 +43,7 @@
         ``reporting_zones``.
     :param unreachable_candidates: candidates that at least as many hosts suspect as the primary.
     :param is_switch_orphaned: whether no running host holds the promotion lock.
+    :param sync_replicas: replicas that have received a commit before it is acknowledged.
     """
 
     service: str
@@ -58,12 +59,25 @@
     unreachable_candidates: frozenset[str] = frozenset()
     is_switch_orphaned: bool = False
     targets: tuple[str, ...] = ()
+    sync_replicas: int = 0
 
     @property
     def reachable_candidates(self) -> tuple[str, ...]:
         """Candidates that fewer hosts suspect than the primary."""
         return tuple(name for name in self.candidates if name not in self.unreachable_candidates)
 
+    @property
+    def preferred_candidates(self) -> tuple[str, ...]:
+        """Candidates of a switch, the preferred ones first.
+
+        With synchronous replication, one that most hosts suspect may be the only one that has all
+        acknowledged commits.
+        """
+        reachable = self.reachable_candidates
+        if self.sync_replicas > 0:
+            return (*reachable, *(name for name in self.candidates if name not in reachable))
+        return reachable or self.candidates
+
 
 class _Reason(NamedTuple):
     text: str
@@ -166,9 +180,14 @@
         if now_s() - since_s < wait_s or now_s() < self._next_attempt_s.get(service, -math.inf):
             return
         self._next_attempt_s[service] = now_s() + RANK_DELAY_S
-        candidates = view.reachable_candidates or view.candidates
         request = SwitchRequest(
-            service, reason.text, reason.is_planned, view.primary, candidates, view.targets
+            service,
+            reason.text,
+            reason.is_planned,
+            view.primary,
+            view.preferred_candidates,
+            view.targets,
+            view.sync_replicas,
         )
         switch = PrimarySwitch(self._context, request)
         self._running[service] = asyncio.get_running_loop().create_task(switch.run())
--- a/libs/fleet/src/pistachiowinch/fleet/switching.py
+++ b/libs/fleet/src/pistachiowinch/fleet/switching.py
@@ -8,9 +8,10 @@
 """
 
 import asyncio
+import contextlib
 import enum
 import math
-from collections.abc import Callable, Set
+from collections.abc import Callable, Mapping, Set
 from dataclasses import dataclass
 from typing import NamedTuple, Protocol
 
@@ -20,10 +21,12 @@
 from pistachiowinch.fleet.primaries import PrimaryTable
 from pistachiowinch.fleet.primary_lease import PRIMARY_LEASE_S, includes_majority
 from pistachiowinch.fleet.promotion_choice import (
+    Choice,
     OrderTarget,
     PromotionOrders,
     SwitchProgress,
     UseTarget,
+    WaitForLogs,
     WaitForOrder,
     WaitForTargets,
     choose_primary,
@@ -52,6 +55,10 @@
 PRIMARY_LEASE_MARGIN_S = 0.1
 # A state request waits for a slot, for up to 0.26 s if the queue is full.
 STATE_TIMEOUT_S = 0.35
+# A target that is several times slower than usual, with a full queue, answers within this time.
+LOG_TIMEOUT_S = 2.0
+# A known log is read again at this interval, since it grows while its primary still sends to it.
+LOG_CHECK_INTERVAL_S = 0.2
 # The watch delivers the record of the switch's start within milliseconds, unless it is broken.
 MEMBERS_REFRESH_S = 0.3
 # A replica receives a commit within milliseconds unless it is disconnected.
@@ -114,6 +121,7 @@
     :param old_primary: the old primary's name; empty if unknown.
     :param candidates: targets that may become primary, preferred ones first.
     :param targets: all targets of the service.
+    :param sync_replicas: replicas that have received a commit before it is acknowledged.
     """
 
     service: str
@@ -122,6 +130,7 @@
     old_primary: str
     candidates: tuple[str, ...]
     targets: tuple[str, ...] = ()
+    sync_replicas: int = 0
 
 
 @dataclass(frozen=True)
@@ -135,6 +144,7 @@
     :param refresh_members: reads the members and the voters again.
     :param voter_groups: returns the groups of voters; a switch needs a majority of each.
     :param drain: ends this host's own work at a service's primary, with a grace time in seconds.
+    :param addresses: returns the addresses of a service's targets, by name.
     """
 
     host: str
@@ -149,6 +159,7 @@
     voter_groups: Callable[[], tuple[frozenset[str], ...]]
     drain: Callable[[str, float], "asyncio.Future[bool]"]
     log: DecisionLog
+    addresses: Callable[[str], Mapping[str, str]] = lambda service: {}
 
 
 def _orders_of(record: PrimaryRecord) -> PromotionOrders:
@@ -172,6 +183,7 @@
         self._revision = 0
         self._begun_revision = 0
         self._ordered = PromotionOrders("")
+        self._replicas: tuple[str, ...] | None = None
         self._last_order_s = now_s()
         self._asks_old_primary = False
         self._started_s = now_s()
@@ -227,9 +239,13 @@
                 # A restored store may have lost the record of an order.
                 is_lost = recorded.epoch < known_epoch
                 self._ordered = PromotionOrders(None) if is_lost else _orders_of(recorded)
+                self._replicas = None if is_lost else recorded.replicas
             else:
                 replaced = (self._request.old_primary,)
                 self._ordered = PromotionOrders("", possible_primaries=replaced)
+                addresses = self._context.addresses(service)
+                replicas = (a for name, a in addresses.items() if name not in replaced)
+                self._replicas = tuple(sorted(replicas)) or None
             record = self._ongoing_record(self._ordered)
             reply = await self._context.store.transact(
                 [
@@ -362,6 +378,9 @@
         while now_s() - self._started_s < SWITCH_TIMEOUT_S:
             await self._read_states(failed)
             choice = choose_primary(self._progress(failed))
+            if isinstance(choice, WaitForLogs):
+                failed.clear()
+                choice = await self._wait_for_logs()
             match choice:
                 case UseTarget(target, evidence):
                     self._log_choice(target, evidence)
@@ -384,7 +403,7 @@
                         # An order that was not executed has no effect; the one before it may have.
                         self._ordered = previous
                     failed.add(target)
-                case WaitForOrder():
+                case WaitForOrder() | WaitForLogs():
                     await sleep_s(POLL_INTERVAL_S)
                 case WaitForTargets():
                     self._asks_old_primary = True
@@ -402,8 +421,23 @@
             orders=self._ordered,
             is_settled=now_s() - self._last_order_s >= ORDER_EFFECT_S,
             failed=failed,
+            sync_replicas=request.sync_replicas,
+            replicas=self._replica_names(),
         )
 
+    def _replica_names(self) -> tuple[str, ...]:
+        """Return the replicas that may have acknowledged commits, by the names that they have now.
+
+        These are the recorded ones and those that were registered since. Without a record the
+        replaced primary may be one of them.
+        """
+        addresses = self._context.addresses(self._request.service)
+        names = {address: name for name, address in addresses.items()}
+        recorded = {names.get(address, address) for address in self._replicas or ()}
+        primaries = {self._ordered.target, *(self._ordered.possible_primaries or ())}
+        registered = addresses.keys() - (primaries if self._replicas is not None else set())
+        return tuple(sorted(recorded | registered))
+
     async def _record_order(self, target: str) -> bool:
         """Record which target is about to be ordered, for the host that continues this switch."""
         if self._ordered.target == target and self._ordered.term_before is not None:
@@ -437,7 +471,7 @@
         return False
 
     def _ongoing_record(self, order: PromotionOrders) -> PrimaryRecord:
-        return PrimaryRecord(self._epoch, "", *order)
+        return PrimaryRecord(self._epoch, "", *order, replicas=self._replicas)
 
     async def _read_states(self, failed: set[str]) -> None:
         """Query the targets that may become or be primary.
@@ -451,14 +485,59 @@
         if not (request.is_planned or failed or self._asks_old_primary):
             names.discard(request.old_primary)
         names = {*names, *request.candidates} - {""}
+        if request.sync_replicas > 0:
+            names |= set(self._replica_names())
         requests = [self._state_of(name) for name in sorted(names)]
         replies = await asyncio.gather(*requests)
         self._answers = dict(replies)
         self._states = {n: state for n, state in replies if isinstance(state, TargetState)}
 
-    async def _state_of(self, target: str) -> tuple[str, StateAnswer]:
+    async def _wait_for_logs(self) -> Choice:
+        """Ask the targets until their logs suffice for another choice.
+
+        Load pattern: the replica with the newest log serves all reads, so that a state request
+        waits in its queue for longer than a usual switch may take. A request that is given up there
+        starts again at the end of the queue.
+        """
+        self._asks_old_primary = True
+        self._log_states("logs_awaited", sync_replicas=self._request.sync_replicas)
+        request, orders = self._request, self._ordered
+        names = {orders.target, *(orders.possible_primaries or ()), request.old_primary}
+        names |= {*request.targets, *request.candidates, *self._replica_names()}
+        changed = asyncio.Event()
+        followers = [
+            asyncio.ensure_future(self._follow_log(name, changed))
+            for name in sorted(names - {None, ""})
+        ]
+        try:
+            choice: Choice = WaitForLogs()
+            while isinstance(choice, WaitForLogs | WaitForTargets):
+                if now_s() - self._started_s >= SWITCH_TIMEOUT_S:
+                    break
+                with contextlib.suppress(TimeoutError):
+                    await asyncio.wait_for(changed.wait(), LOG_CHECK_INTERVAL_S)
+                changed.clear()
+                choice = choose_primary(self._progress(set()))
+            return choice
+        finally:
+            for follower in followers:
+                follower.cancel()
+
+    async def _follow_log(self, target: str, changed: asyncio.Event) -> None:
+        """Keep a target's state up to date until cancelled."""
+        while True:
+            _, answer = await self._state_of(target, LOG_TIMEOUT_S)
+            self._answers[target] = answer
+            if isinstance(answer, TargetState):
+                self._states[target] = answer
+                changed.set()
+            await sleep_s(LOG_CHECK_INTERVAL_S if target in self._states else POLL_INTERVAL_S)
+
+    async def _state_of(
+        self, target: str, timeout_s: float = STATE_TIMEOUT_S
+    ) -> tuple[str, StateAnswer]:
         service = self._request.service
-        return target, await self._context.orders.state(service, target, STATE_TIMEOUT_S)
+        return target, await self._context.orders.state(service, target, timeout_s)
 
     async def _wait_caught_up(self, target: str) -> None:
         """Wait until a replica has received all entries in the old primary's log."""
@@ -612,6 +691,8 @@
         """Log a decision with what each target of the service has answered."""
         request = self._request
         asked = {*request.candidates, request.old_primary, self._ordered.target or ""} - {""}
+        if request.sync_replicas > 0:
+            asked |= set(self._replica_names())
         states = {name: self._describe(name) for name in sorted(asked)}
         self._log(event, **fields, states=states)
 
--- a/libs/sessions/src/pistachiowinch/sessions/site.py
+++ b/libs/sessions/src/pistachiowinch/sessions/site.py
@@ -3,6 +3,7 @@
 import asyncio
 import enum
 from collections.abc import Iterable, Mapping
+from types import MappingProxyType
 from typing import NamedTuple
 
 from pistachiowinch.base.clock import now_s
@@ -79,6 +80,8 @@
     :param customers: customer names by key.
     :param rates: rate limits by customer.
     :param transaction_idle_s: idle time after which an open transaction may be aborted.
+    :param sync_replicas: number of replicas that have received a commit before it is acknowledged,
+        by service; services that are not named replicate asynchronously.
     """
 
     version: int
@@ -88,6 +91,7 @@
     services: Mapping[str, ServiceLimits]
     transaction_idle_s: float
     max_statement_bytes: int
+    sync_replicas: Mapping[str, int] = MappingProxyType({})
 
 
 EMPTY_CONFIGURATION = SiteConfiguration(
--- a/tests/entry/test_group_views.py
+++ b/tests/entry/test_group_views.py
@@ -11,7 +11,7 @@
 from pistachiowinch.fleet.primaries import PrimaryTable
 from pistachiowinch.peering.messages import Heartbeat, ReceivedHeartbeat
 from pistachiowinch.sessions.health import TargetHealth
-from pistachiowinch.sessions.site import SiteView, Target
+from pistachiowinch.sessions.site import EMPTY_CONFIGURATION, ServiceLimits, SiteView, Target
 
 pytestmark = pytest.mark.looptime
 
@@ -27,7 +27,7 @@
         self.names = [f"h{number}" for number in range(hosts)]
         self.suspected: dict[str, tuple[str, ...]] = {}
         membership = SimpleNamespace(peers=self.names[1:], last_heartbeat=self._heartbeat)
-        view = SiteView(log)
+        self.view = view = SiteView(log)
         view.set_targets(
             Target(name, "s", f"10.0.0.1:{port}", "z1", 5, False, name == "a", 1)
             for port, name in enumerate("abc")
@@ -79,3 +79,14 @@
     fleet.suspected = {f"h{number}": ("a",) for number in range(5, 12)}
     (view,) = fleet.views.all()
     assert (view.suspecting_hosts, view.reporting_hosts) == (7, 12)
+
+
+async def test_a_suspected_replica_stays_a_candidate_with_synchronous_replication():
+    """LOST, review/13: the only replica with all acknowledged commits was slow, and suspected."""
+    fleet = Fleet(3, frozenset(("h0", "h1", "h2")))
+    fleet.suspected = dict.fromkeys(("h1", "h2"), ("a", "b"))
+    assert fleet.views.all()[0].preferred_candidates == ("c",)
+    limits = {"s": ServiceLimits("s", 10)}
+    configuration = EMPTY_CONFIGURATION._replace(services=limits, sync_replicas={"s": 1})
+    fleet.view.set_configuration(configuration._replace(version=1), "test")
+    assert fleet.views.all()[0].preferred_candidates == ("c", "b")
--- a/tests/fleet/switch_support.py
+++ b/tests/fleet/switch_support.py
@@ -121,6 +121,7 @@
         self.own_work_until_s = 0.0
         self.revision_lead = 0
         self.refreshed_s: list[float] = []
+        self.addresses = {name: f"at-{name}" for name in "abc"}
         self.context = SwitchContext(
             host="p",
             store=self.store,
@@ -134,6 +135,7 @@
             voter_groups=lambda: (frozenset("p" + others),),
             drain=self._drain,
             log=log,
+            addresses=lambda service: self.addresses,
         )
 
     async def _drain(self, service: str, grace_s: float) -> bool:
--- a/tests/fleet/test_promotion_choice.py
+++ b/tests/fleet/test_promotion_choice.py
@@ -7,6 +7,7 @@
     PromotionOrders,
     SwitchProgress,
     UseTarget,
+    WaitForLogs,
     WaitForOrder,
     WaitForTargets,
     choose_primary,
@@ -91,3 +92,34 @@
     assert orders == PromotionOrders("c", "q", 2, ("a", "b"))
     assert orders.followed_by("b", "r", 3).possible_primaries == ("a", "c")
     assert PromotionOrders(None).followed_by("b", "r", 3).possible_primaries is None
+
+
+ORDERED_B = PromotionOrders("b", "q", 1, ("a",))
+
+
+@pytest.mark.parametrize(
+    ("changes", "states", "expected"),
+    [
+        ({}, {"b": SHORT}, WaitForLogs),
+        ({}, {"b": SHORT, "c": REPLICA}, OrderTarget),
+        ({}, {"b": SHORT, "c": TargetState(False, 1, None)}, WaitForLogs),
+        ({"sync_replicas": 0}, {"b": SHORT}, OrderTarget),
+        ({"sync_replicas": 2}, {"b": SHORT}, OrderTarget),
+        ({"replicas": ()}, {"b": SHORT}, WaitForLogs),
+        ({"failed": ("c",)}, {"b": SHORT, "c": REPLICA}, WaitForLogs),
+        ({}, {"a": OLD._replace(is_primary=False), "b": REPLICA}, OrderTarget),
+        ({}, {"a": OLD._replace(is_primary=False), "b": SHORT}, WaitForLogs),
+        ({}, {"a": OLD, "b": SHORT}, UseTarget),
+        ({"orders": ORDERED_B}, {"b": SHORT}, OrderTarget),
+        ({"orders": ORDERED_B, "failed": ("b",)}, {"b": SHORT, "c": SHORT}, OrderTarget),
+        ({"orders": ORDERED_B, "failed": ("b",)}, {"c": REPLICA}, WaitForLogs),
+        ({"orders": PromotionOrders(None)}, {"b": REPLICA, "c": SHORT}, OrderTarget),
+        ({"orders": PromotionOrders(None)}, {"b": REPLICA}, WaitForLogs),
+    ],
+)
+def test_an_order_needs_the_logs_that_may_have_acknowledged_commits(changes, states, expected):
+    """LOST, review/13: the longest log of the replicas that had answered was promoted."""
+    known = SwitchProgress(
+        states, ("b", "c"), "abc", "a", NO_ORDERS, True, sync_replicas=1, replicas=("b", "c")
+    )
+    assert isinstance(choose_primary(known._replace(**changes)), expected)
--- a/tests/fleet/test_random_promoters.py
+++ b/tests/fleet/test_random_promoters.py
@@ -43,6 +43,9 @@
 
     :ivar cut_off: hosts whose zones are cut off from all others, from the store and the platform.
     :ivar loses_orders: whether orders are not answered; half of them are executed.
+    :ivar deaf: replica that receives nothing; empty if all receive.
+    :ivar acknowledged: position of the last commit that a replica received and a host acknowledged.
+    :ivar lost: promotions of targets without that commit.
     """
 
     def __init__(self, rng: random.Random) -> None:
@@ -54,14 +57,27 @@
         }
         self.cut_off: set[str] = set()
         self.loses_orders = False
+        self.deaf = ""
+        self.acknowledged = Position(1, 9)
+        self.lost: list[str] = []
+
+    def become_primary(self, target: str) -> None:
+        """Let a promotion take effect, and check the log of its target."""
+        received = self.states[target].received
+        if target != self.newest_primary and received < self.acknowledged:
+            self.lost.append(f"{now_s():.2f} {target} at {received} lacks {self.acknowledged}")
+        super().become_primary(target)
 
     def reaches(self, host: str, target: str) -> bool:
         """Whether a target answers a host."""
         own = HOSTS[TARGETS.index(target)]
         return own == host or not self.cut_off & {own, host}
 
-    def write_and_replicate(self) -> None:
-        """Append to the newest primary's log; let targets that reach it follow it."""
+    def write_and_replicate(self, is_used: bool) -> None:
+        """Append to the newest primary's log; let targets that reach it follow it.
+
+        :param is_used: whether a host acknowledges the commit, once one replica has received it.
+        """
         newest = self.newest_primary
         term = self.newest_term
         leader = self.states[newest]
@@ -69,8 +85,10 @@
         self.states[newest] = leader._replace(received=position)
         home = HOSTS[TARGETS.index(newest)]
         for name in TARGETS:
-            if name != newest and self.reaches(home, name):
+            if name not in (newest, self.deaf) and self.reaches(home, name):
                 self.states[name] = TargetState(False, term, position)
+                if is_used:
+                    self.acknowledged = position
 
 
 class Orders:
@@ -138,6 +156,7 @@
             voter_groups=lambda: (frozenset(HOSTS),),
             drain=self._drain,
             log=log,
+            addresses=lambda service: {target: target for target in TARGETS},
         )
         # A host uses no primary before it has read the store.
         self.read_s = float("-inf")
@@ -183,7 +202,7 @@
             return
         primary = self.table.primary("s")
         others = tuple(name for name in TARGETS if name != primary)
-        request = SwitchRequest("s", reason, False, primary, others)
+        request = SwitchRequest("s", reason, False, primary, others, sync_replicas=1)
         self.switch = asyncio.ensure_future(PrimarySwitch(self.context, request).run())
 
     def kill(self) -> None:
@@ -249,7 +268,7 @@
         """Change something at random times, until cancelled."""
         while True:
             await asyncio.sleep(self.rng.uniform(0.05, MAX_PAUSE_S))
-            kinds = ("cut", "cut", "heal", "kill", "orders", "store", "replace", "replicate")
+            kinds = ("cut", "cut", "heal", "kill", "orders", "store", "replace", "write", "deaf")
             self.change(self.rng.choice(kinds))
 
     def change(self, kind: str) -> None:
@@ -269,8 +288,21 @@
                 host.client.faults.lost_replies = 1
             case "replace" if host.name not in self.platform.cut_off:
                 host.start_switch("replace")
-            case "replicate":
-                self.platform.write_and_replicate()
+            case "write":
+                self._write()
+            case "deaf":
+                self.platform.deaf = self.rng.choice(("", *TARGETS))
+                self._write()
+
+    def _write(self) -> None:
+        platform = self.platform
+        using = [host for host in self.hosts.values() if host.used_primary]
+        is_used = any(
+            host.used_primary == platform.newest_primary
+            and platform.reaches(host.name, platform.newest_primary)
+            for host in using
+        )
+        platform.write_and_replicate(is_used)
 
     def _cut_off(self, names: set[str]) -> None:
         self.platform.cut_off = names
@@ -280,7 +312,10 @@
 
 @pytest.mark.parametrize("seed", range(SEEDS))
 async def test_random_promoters_never_leave_an_older_primary_in_use(seed):
-    """ONE, review/6: partitions, lost promoters and lost orders may hide the newest primary."""
+    """ONE, review/6: partitions, lost promoters and lost orders may hide the newest primary.
+
+    LOST, review/13: the replica with the acknowledged commits may be hidden, too.
+    """
     site = Site(seed)
     checking = [asyncio.ensure_future(work) for work in (site.check(), site.supervise())]
     disturbing = asyncio.ensure_future(site.disturb())
@@ -288,7 +323,9 @@
     disturbing.cancel()
     site.platform.loses_orders = False
     site.change("heal")
+    site.platform.deaf = ""
     await asyncio.sleep(RECOVERY_S)
+    assert not site.platform.lost, (site.platform.lost, site.history)
     assert not site.violations, (site.violations, site.history)
     used = {host.used_primary for host in site.hosts.values()}
     assert used == {site.platform.newest_primary}, site.history
--- a/tests/fleet/test_switching.py
+++ b/tests/fleet/test_switching.py
@@ -19,12 +19,13 @@
     PromoteAnswer,
     SwitchRequest,
 )
-from pistachiowinch.links.statements import Position, TargetState
+from pistachiowinch.links.statements import Position, ReasonRefused, TargetState
 from pistachiowinch.links.store import StoreReplyLost
 
 pytestmark = pytest.mark.looptime
 
 CRASH_REQUEST = SwitchRequest("s", "test", False, "a", ("b", "c"))
+SYNC_REQUEST = CRASH_REQUEST._replace(sync_replicas=1)
 
 
 async def test_the_longest_log_is_promoted_after_all_hosts_have_drained():
@@ -204,10 +205,94 @@
         return None if wait_s > timeout_s else await original(service, target, timeout_s)
 
     world.group.state = state
-    assert await PrimarySwitch(world.context, CRASH_REQUEST).run()
+    assert await PrimarySwitch(world.context, SYNC_REQUEST).run()
     assert world.group.promotions[0][0] == "c"
 
 
+async def test_a_slow_candidate_does_not_delay_a_switch_without_synchronous_replication():
+    world = World()
+    world.group.unreachable = {"b"}
+    assert await PrimarySwitch(world.context, CRASH_REQUEST).run()
+    assert world.group.promotions[0][2] < 2 * STATE_TIMEOUT_S
+
+
+async def test_a_replica_whose_queue_is_full_is_asked_again_until_it_answers():
+    """LOST, review/13: a refusal was taken for the answer of a target that is not there."""
+    world = World()
+    original = world.group.state
+
+    async def state(service, target, timeout_s):
+        is_full = target == "c" and now_s() < 4.0
+        return ReasonRefused.BUSY if is_full else await original(service, target, timeout_s)
+
+    world.group.state = state
+    assert await PrimarySwitch(world.context, SYNC_REQUEST).run()
+    assert [(target, at_s < 4.5) for target, _, at_s, _ in world.group.promotions] == [("c", True)]
+
+
+async def test_a_switch_gives_up_rather_than_promote_without_the_last_replica():
+    """LOST: the replica that is silent may be the one that has the acknowledged commits."""
+    world = World()
+    world.group.unreachable = {"c"}
+    assert not await PrimarySwitch(world.context, SYNC_REQUEST).run()
+    assert not world.group.promotions
+
+
+async def test_the_replaced_primary_is_used_again_if_a_replica_stays_silent():
+    world = World()
+    world.group.unreachable = {"c"}
+    loop = asyncio.get_running_loop()
+    returned = TargetState(True, 1, Position(1, 9))
+    loop.call_later(3.0, world.group.states.__setitem__, "a", returned)
+    assert await PrimarySwitch(world.context, SYNC_REQUEST).run()
+    assert world.table.primary("s") == "a"
+    assert not world.group.promotions
+
+
+async def test_a_shorter_log_is_not_promoted_after_an_order_in_vain():
+    """LOST: the next candidate was tried, whatever it lacked."""
+    world = World()
+    world.group.not_running = {"c"}
+    assert not await PrimarySwitch(world.context, SYNC_REQUEST).run()
+    assert {target for target, *_ in world.group.promotions} == {"c"}
+
+
+async def test_a_replica_that_was_removed_in_a_switch_is_waited_for():
+    """LOST: a silent target is removed from the store after some seconds, and keeps its log."""
+    world = World()
+    world.group.unreachable = {"c"}
+    asyncio.get_running_loop().call_later(1.0, world.addresses.pop, "c")
+    assert not await PrimarySwitch(world.context, SYNC_REQUEST).run()
+    continued = SYNC_REQUEST._replace(old_primary="", candidates=("b",))
+    assert not await PrimarySwitch(world.context, continued).run()
+    assert not world.group.promotions
+
+
+async def test_a_replica_that_returns_under_another_name_ends_the_wait():
+    world = World()
+    world.group.states["d"] = world.group.states.pop("c")
+    world.addresses["c"] = "at-c"
+    first = asyncio.ensure_future(PrimarySwitch(world.context, SYNC_REQUEST).run())
+    await asyncio.sleep(2.0)
+    assert not world.group.promotions
+    del world.addresses["c"]
+    world.addresses["d"] = "at-c"
+    assert not await first
+    continued = SYNC_REQUEST._replace(old_primary="", candidates=("b", "d"))
+    assert await PrimarySwitch(world.context, continued).run()
+    assert world.group.promotions[0][0] == "d"
+
+
+async def test_a_replica_that_was_registered_in_a_switch_is_asked_too():
+    """LOST: it may have received what no other replica has."""
+    world = World()
+    world.group.states["d"] = TargetState(False, 1, Position(1, 12))
+    world.group.unreachable = {"d"}
+    asyncio.get_running_loop().call_later(0.001, world.addresses.__setitem__, "d", "at-d")
+    assert not await PrimarySwitch(world.context, SYNC_REQUEST).run()
+    assert not world.group.promotions
+
+
 async def test_no_switch_begins_without_the_store():
     """ONE: hosts that rely on the store would not see a switch that is not recorded there."""
     world = World()
@@ -322,7 +407,7 @@
 
     world.group.promote = record_then_promote
     assert await PrimarySwitch(world.context, CRASH_REQUEST).run()
-    assert recorded == [PrimaryRecord(1, "", "c", "p", 1, ("a",))]
+    assert recorded == [PrimaryRecord(1, "", "c", "p", 1, ("a",), ("at-b", "at-c"))]
 
 
 async def test_a_lost_answer_to_the_record_of_an_order_does_not_end_the_switch():
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -14,6 +14,7 @@
 from pistachiowinch.platform.settings import SettingsError, read_settings
 from pistachiowinch.sessions.site import Consistency
 
+SYNC = {"name": "sync", "syncReplicas": 1}
 CONFIGURATION = {
     "version": 7,
     "routes": [
@@ -31,7 +32,7 @@
             "public": False,
         }
     ],
-    "services": [{"name": "svc", "healthPath": "/health", "maxConns": 33, "unknown": 1}],
+    "services": [{"name": "svc", "healthPath": "/health", "maxConns": 33, "unknown": 1}, SYNC],
     "limits": {"maxBodyBytes": 100, "txIdleMs": 2000},
     "tenants": [{"name": "carp", "apiKeys": ["k1", "k2"], "ratePerS": 59, "burst": 60}],
 }
@@ -79,6 +80,7 @@
     assert found.customers == {"k1": "carp", "k2": "carp"}
     assert found.rates == {"carp": RateLimit(59, 60)}
     assert found.services["svc"].max_connections == 33
+    assert found.sync_replicas == {"sync": 1}
     assert (found.transaction_idle_s, found.max_statement_bytes) == (2.0, 100)
 
 
