Switches: the wait for logs polls like the other waits of a switch

An error of a state request ended its task without a trace while the switch waited for logs. It now ends the attempt, with `switch_failed`, as in the other steps.

--- a/libs/fleet/src/pistachiowinch/fleet/switching.py
+++ b/libs/fleet/src/pistachiowinch/fleet/switching.py
@@ -8,7 +8,6 @@
 """
 
 import asyncio
-import contextlib
 import enum
 import math
 from collections.abc import Callable, Mapping, Set
@@ -504,33 +503,31 @@
         request, orders = self._request, self._ordered
         names = {orders.target, *(orders.possible_primaries or ()), request.old_primary}
         names |= {*request.targets, *request.candidates, *self._replica_names()}
-        changed = asyncio.Event()
         followers = [
-            asyncio.ensure_future(self._follow_log(name, changed))
-            for name in sorted(names - {None, ""})
+            asyncio.ensure_future(self._follow_log(name)) for name in sorted(names - {None, ""})
         ]
         try:
             choice: Choice = WaitForLogs()
             while isinstance(choice, WaitForLogs | WaitForTargets):
                 if now_s() - self._started_s >= SWITCH_TIMEOUT_S:
                     break
-                with contextlib.suppress(TimeoutError):
-                    await asyncio.wait_for(changed.wait(), LOG_CHECK_INTERVAL_S)
-                changed.clear()
+                await sleep_s(POLL_INTERVAL_S)
+                for follower in followers:
+                    if follower.done():
+                        follower.result()
                 choice = choose_primary(self._progress(set()))
             return choice
         finally:
             for follower in followers:
                 follower.cancel()
 
-    async def _follow_log(self, target: str, changed: asyncio.Event) -> None:
+    async def _follow_log(self, target: str) -> None:
         """Keep a target's state up to date until cancelled."""
         while True:
             _, answer = await self._state_of(target, LOG_TIMEOUT_S)
             self._answers[target] = answer
             if isinstance(answer, TargetState):
                 self._states[target] = answer
-                changed.set()
             await sleep_s(LOG_CHECK_INTERVAL_S if target in self._states else POLL_INTERVAL_S)
 
     async def _state_of(
