Pool hosts: a COMMIT that was refused as not run is repeated in its transaction

A transaction that had written would have been lost.

Cause: a full target refuses a COMMIT without running it (BUSY), and the caller's host repeats it. The pool host rolled the transaction back at any COMMIT that was not completed, and the caller's host forgot the transaction's number at any answer, so that the repetition ran as a single statement on another connection. A target answers such a COMMIT with success.

Change: a refusal as not run leaves the transaction open on both sides; the caller's host repeats the COMMIT or closes the transaction. A pool host runs no COMMIT or ROLLBACK without one.

Why this works: the number is kept until the end is confirmed, and every other outcome makes the caller's host close its connection, which tells the pool host.

Two of the three new tests fail before; the third holds that a COMMIT which stays refused leaves nothing open.

--- a/libs/sessions/src/pistachiowinch/sessions/pool_server.py
+++ b/libs/sessions/src/pistachiowinch/sessions/pool_server.py
@@ -243,7 +243,8 @@
             return Interrupted(False, str(error))
         key = _TransactionKey(host, message.run, message.transaction)
         transaction = self._transactions.get(key) if message.transaction else None
-        if message.transaction and not isinstance(statement, Begin) and transaction is None:
+        needs_transaction = message.transaction or isinstance(statement, Commit | Rollback)
+        if needs_transaction and not isinstance(statement, Begin) and transaction is None:
             return Interrupted(False, "the transaction is not open at the pool host")
         if transaction is not None and transaction.is_running:
             return Interrupted(False, "another statement of the transaction runs")
@@ -331,7 +332,7 @@
         if ends and isinstance(outcome, Completed):
             if self._forget(key) is not None:
                 self._context.connections.release(pooled)
-        elif ends or not pooled.connection.is_usable:
+        elif (ends and not _is_still_open(outcome)) or not pooled.connection.is_usable:
             self._end(key, "its connection failed")
         return outcome
 
@@ -484,6 +485,16 @@
         return LoadReport(target.slots, queue.running, queue.waiting, queue.service_s)
 
 
+def _is_still_open(outcome: StatementOutcome) -> bool:
+    """Whether a transaction goes on after its COMMIT had this outcome.
+
+    The caller's host repeats the COMMIT, or closes the transaction.
+    """
+    if not isinstance(outcome, Refused):
+        return False
+    return outcome.reason.is_not_run and not outcome.is_transaction_failed
+
+
 def _operation(message: PoolStatement) -> Operation:
     """Return the part of the caller's operation that an exchange needs.
 
--- a/libs/sessions/src/pistachiowinch/sessions/shared_connection.py
+++ b/libs/sessions/src/pistachiowinch/sessions/shared_connection.py
@@ -149,7 +149,7 @@
             raise
         if isinstance(outcome, Interrupted):
             self.close()
-        elif isinstance(statement, Commit | Rollback):
+        elif isinstance(statement, Commit | Rollback) and isinstance(outcome, Completed):
             self._transaction = 0
         return outcome
 
--- a/tests/sessions/test_pool_hosts.py
+++ b/tests/sessions/test_pool_hosts.py
@@ -22,7 +22,7 @@
     SetValue,
 )
 from pistachiowinch.sessions.pool_hosts import PoolHosts
-from pistachiowinch.sessions.pool_messages import PoolClose, PoolStatement
+from pistachiowinch.sessions.pool_messages import PoolClose, PoolStatement, encode_statement
 from pistachiowinch.sessions.replies import CompletedStatement
 from pistachiowinch.sessions.shutdown import Shutdown
 from pistachiowinch.sessions.site import SiteView, Target
@@ -125,6 +125,48 @@
     assert shared.servers[shared.pool_host("a")].is_idle
 
 
+async def test_a_commit_that_was_refused_by_a_full_target_is_repeated_in_its_transaction():
+    """LOST, PINNED: the pool host rolled back, and the COMMIT ran again without a transaction."""
+    shared = SharedWorlds()
+    primary = shared.worlds["h0"].primary
+    caller = Caller(shared.other_than(shared.pool_host("a")), "primary")
+    await caller(Begin(False))
+    await caller(WRITE)
+    primary.refuse = [ReasonRefused.BUSY, ReasonRefused.BUSY]
+    assert isinstance(await caller(COMMIT), CompletedStatement)
+    commits = [run for run in primary.runs if run[0] == "commit"]
+    assert [len(run[2]) for run in commits] == [1]
+    assert shared.servers[shared.pool_host("a")].is_idle
+
+
+async def test_a_commit_that_stays_refused_frees_its_connection():
+    """A transaction stays open at the pool host after its caller was told that it ended."""
+    shared = SharedWorlds()
+    primary = shared.worlds["h0"].primary
+    caller = Caller(shared.other_than(shared.pool_host("a")), "primary")
+    await caller(Begin(False))
+    await caller(WRITE)
+    primary.refuse = [ReasonRefused.BUSY] * 20
+    reply = await caller(COMMIT)
+    assert isinstance(reply, Refusal)
+    assert reply.code is codes.TRANSACTION_ABORTED
+    await asyncio.sleep(0.1)
+    assert shared.servers[shared.pool_host("a")].is_idle
+    assert primary.applied == 0
+
+
+async def test_a_pool_host_runs_no_commit_without_a_transaction():
+    """LOST: a target answers such a COMMIT with success."""
+    shared = SharedWorlds()
+    server = shared.servers[shared.pool_host("a")]
+    message = PoolStatement(
+        7, 1, 0, SERVICE, "a", True, 0, "carp", 1, 400, 1000, "r1",
+        encode_statement(COMMIT), False, {}, None,
+    )  # fmt: skip
+    await server.serve("h9", message)
+    assert not shared.worlds["h0"].primary.runs
+
+
 async def test_a_rolled_back_transaction_frees_its_connection():
     """Connections leak at the pool host when callers roll back or leave."""
     shared = SharedWorlds()
